--- /dev/null
+++ b/src/app/commands.cc
@@ -0,0 +1,151 @@
+#include "app/commands.h"
+
+#include <exception>
+
+#include <fmt/format.h>
+
+#include "app/object_commands.h"
+#include "app/observe_commands.h"
+#include "model/model.h"
+#include "objects/objects.h"
+#include "runtime/runtime.h"
+
+namespace poplarsail::app {
+
+namespace {
+
+void AddRunOptions(cxxopts::Options* options) {
+  options->add_options()("settings", "Settings file of this entry host (INI)",
+                         cxxopts::value<std::string>())(
+      "check", "Check the settings file and exit");
+}
+
+int RunDaemonCommand(const cxxopts::ParseResult& arguments) {
+  if (arguments.count("settings") == 0) {
+    throw UsageError("Give the settings file with --settings host.ini.");
+  }
+  const auto path = arguments["settings"].as<std::string>();
+  const model::Settings settings = model::LoadSettings(path);
+  if (arguments.count("check") > 0) {
+    fmt::print("{}: the settings are good\n", path);
+    return kExitSuccess;
+  }
+  return runtime::RunDaemon(settings);
+}
+
+void PrintOverview() {
+  fmt::print("Usage: poplarsail COMMAND [OPTION...]\n\nCommands:\n");
+  for (const Command& command : Commands()) {
+    fmt::print("  {:<10}{}\n", command.name, command.summary);
+  }
+  fmt::print(
+      "\nAsk \"poplarsail COMMAND --help\" for a command's options.\n"
+      "Exit codes: 0 success, 1 failure, 2 wrong usage.\n");
+}
+
+int RunCommand(const Command& command, int argc, char** argv) {
+  cxxopts::Options options("poplarsail " + command.name, command.summary);
+  options.add_options()("h,help", "Show this help")("version",
+                                                    "Show the version")(
+      "output", "Form of the answer: table or json",
+      cxxopts::value<std::string>()->default_value("table"))(
+      "names", "Positional arguments",
+      cxxopts::value<std::vector<std::string>>());
+  command.add_options(&options);
+  options.parse_positional({"names"});
+  const cxxopts::ParseResult arguments = options.parse(argc, argv);
+  if (arguments.count("help") > 0) {
+    fmt::print("{}", options.help());
+    return kExitSuccess;
+  }
+  if (arguments.count("version") > 0) {
+    fmt::print("poplarsail {}\n", POPLARSAIL_VERSION);
+    return kExitSuccess;
+  }
+  return command.run(arguments);
+}
+
+int RunNamed(const std::string& name, int argc, char** argv) {
+  if (name == "--help" || name == "-h") {
+    PrintOverview();
+    return kExitSuccess;
+  }
+  if (name == "--version") {
+    fmt::print("poplarsail {}\n", POPLARSAIL_VERSION);
+    return kExitSuccess;
+  }
+  for (const Command& command : Commands()) {
+    if (command.name == name) {
+      return RunCommand(command, argc, argv);
+    }
+  }
+  throw UsageError(fmt::format(
+      "There is no command \"{}\". See \"poplarsail --help\".", name));
+}
+
+}  // namespace
+
+const std::vector<Command>& Commands() {
+  static const std::vector<Command> commands = {
+      {"run", "Run the daemon of one entry host", &AddRunOptions,
+       &RunDaemonCommand},
+      {"apply", "Write the resources of a file", &AddApiOptions, &RunApply},
+      {"get", "Show resources: get KIND [NAME]", &AddApiOptions, &RunGet},
+      {"diff", "Compare a file with the stored resources", &AddApiOptions,
+       &RunDiff},
+      {"watch", "Show changes as they come", &AddApiOptions, &RunWatch},
+      {"delete", "Delete a resource: delete KIND NAME", &AddApiOptions,
+       &RunDelete},
+      {"validate", "Check a file of resources", &AddApiOptions, &RunValidate},
+      {"status", "Show what is in force on which entry host", &AddApiOptions,
+       &RunStatus},
+      {"explain", "Tell where a daemon sends a flow and why",
+       &AddExplainOptions, &RunExplain},
+      {"report", "Show the service-level burn", &AddReportOptions, &RunReport},
+  };
+  return commands;
+}
+
+int RunCommandLine(int argc, char** argv) {
+  try {
+    if (argc < 2) {
+      PrintOverview();
+      return kExitUsage;
+    }
+    return RunNamed(argv[1], argc - 1, argv + 1);
+  } catch (const UsageError& error) {
+    fmt::print(stderr, "{}\n", error.what());
+    return kExitUsage;
+  } catch (const cxxopts::exceptions::exception& error) {
+    fmt::print(stderr, "{}. See \"poplarsail --help\".\n", error.what());
+    return kExitUsage;
+  } catch (const std::exception& error) {
+    fmt::print(stderr, "{}\n", error.what());
+    return kExitFailure;
+  }
+}
+
+bool WantsJson(const cxxopts::ParseResult& arguments) {
+  const auto output = arguments["output"].as<std::string>();
+  if (output != "json" && output != "table") {
+    throw UsageError(
+        fmt::format("--output \"{}\" is not one of: table, json.", output));
+  }
+  return output == "json";
+}
+
+std::vector<std::string> Positionals(const cxxopts::ParseResult& arguments,
+                                     size_t least,
+                                     size_t most,
+                                     const std::string& what) {
+  std::vector<std::string> names;
+  if (arguments.count("names") > 0) {
+    names = arguments["names"].as<std::vector<std::string>>();
+  }
+  if (names.size() < least || names.size() > most) {
+    throw UsageError("Give " + what + ".");
+  }
+  return names;
+}
+
+}  // namespace poplarsail::app
--- /dev/null
+++ b/src/libs/control/config_state.cc
@@ -0,0 +1,164 @@
+#include "control/config_state.h"
+
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <utility>
+
+namespace poplarsail::control {
+
+using model::Object;
+using model::ObjectKey;
+using objects::WatchEventType;
+
+ApplyResult ConfigState::Apply(const objects::WatchEvent& event) {
+  const uint64_t version = event.object.resource_version;
+  if (event.type == WatchEventType::kBookmark) {
+    m_version = std::max(m_version, version);
+    return ApplyResult::kStale;
+  }
+  if (event.type == WatchEventType::kPut) {
+    return ApplyObject(event.object);
+  }
+  const Object* known = FindObject(event.object.key);
+  m_version = std::max(m_version, version);
+  if (known == nullptr || known->resource_version > version) {
+    return ApplyResult::kStale;
+  }
+  Remove(event.object.key);
+  ++m_change_count;
+  return ApplyResult::kApplied;
+}
+
+ApplyResult ConfigState::ReplaceAll(const objects::ObjectList& list) {
+  if (list.resource_version < m_version) {
+    return ApplyResult::kStale;
+  }
+  std::set<ObjectKey> listed;
+  for (const Object& object : list.items) {
+    listed.insert(object.key);
+    ApplyObject(object);
+  }
+  std::vector<ObjectKey> gone;
+  for (const auto& [key, object] : m_objects) {
+    if (!listed.contains(key)) {
+      gone.push_back(key);
+    }
+  }
+  for (const ObjectKey& key : gone) {
+    Remove(key);
+    ++m_change_count;
+  }
+  m_version = std::max(m_version, list.resource_version);
+  return ApplyResult::kApplied;
+}
+
+ApplyResult ConfigState::ApplyObject(const Object& object) {
+  m_version = std::max(m_version, object.resource_version);
+  const Object* known = FindObject(object.key);
+  if (known != nullptr && known->resource_version >= object.resource_version) {
+    return ApplyResult::kStale;
+  }
+  try {
+    Store(object);
+  } catch (const model::ValidationError& error) {
+    m_refused[object.key] = error.what();
+    return ApplyResult::kInvalid;
+  }
+  m_refused.erase(object.key);
+  m_objects[object.key] = object;
+  ++m_change_count;
+  return ApplyResult::kApplied;
+}
+
+void ConfigState::Store(const Object& object) {
+  const auto& [kind, name] = object.key;
+  if (kind == model::kServiceKind) {
+    m_services[name] = model::ServiceFromObject(object);
+  } else if (kind == model::kUpstreamKind) {
+    m_upstreams[name] = model::UpstreamFromObject(object);
+  } else if (kind == model::kFailureDomainKind) {
+    m_domains[name] = model::FailureDomainFromObject(object);
+  } else if (kind == model::kEntryHostKind) {
+    m_entry_hosts[name] = model::EntryHostFromObject(object);
+  } else if (kind == model::kPlanKind) {
+    auto plan = std::make_shared<const steering::ServicePlan>(
+        steering::ServicePlanFromJson(object.spec, kind + "/" + name));
+    const auto present = m_plans.find(name);
+    if (present == m_plans.end() ||
+        present->second->generation() < plan->generation()) {
+      m_plans[name] = std::move(plan);
+    }
+  }
+}
+
+void ConfigState::Remove(const ObjectKey& key) {
+  m_objects.erase(key);
+  m_refused.erase(key);
+  if (key.kind == model::kServiceKind) {
+    m_services.erase(key.name);
+  } else if (key.kind == model::kUpstreamKind) {
+    m_upstreams.erase(key.name);
+  } else if (key.kind == model::kFailureDomainKind) {
+    m_domains.erase(key.name);
+  } else if (key.kind == model::kEntryHostKind) {
+    m_entry_hosts.erase(key.name);
+  } else if (key.kind == model::kPlanKind) {
+    m_plans.erase(key.name);
+  }
+}
+
+bool ConfigState::IsDomainOut(const std::string& failure_domain) const {
+  const auto found = m_domains.find(failure_domain);
+  return found != m_domains.end() &&
+         found->second.state == model::DomainState::kOut;
+}
+
+const Object* ConfigState::FindObject(const ObjectKey& key) const {
+  const auto found = m_objects.find(key);
+  return found == m_objects.end() ? nullptr : &found->second;
+}
+
+steering::ServiceGoal ConfigState::GoalFor(
+    const model::Service& service) const {
+  steering::ServiceGoal goal;
+  goal.service = service.name;
+  goal.address = service.address;
+  goal.protocol = service.protocol;
+  for (const auto& [name, upstream] : m_upstreams) {
+    if (upstream.service != service.name ||
+        IsDomainOut(upstream.failure_domain)) {
+      continue;
+    }
+    const bool is_draining = upstream.state == model::UpstreamState::kDraining;
+    goal.upstreams.push_back({name, upstream.address, upstream.failure_domain,
+                              is_draining ? 0 : upstream.connections});
+  }
+  return goal;
+}
+
+std::vector<dispatch::RequestUpstream> ConfigState::RequestUpstreamsFor(
+    const std::string& service) const {
+  std::vector<dispatch::RequestUpstream> result;
+  for (const auto& [name, upstream] : m_upstreams) {
+    if (upstream.service != service || IsDomainOut(upstream.failure_domain)) {
+      continue;
+    }
+    result.push_back({name, upstream.address, upstream.slots,
+                      upstream.state == model::UpstreamState::kDraining});
+  }
+  return result;
+}
+
+std::vector<steering::Member> ConfigState::Members(uint16_t relay_port) const {
+  std::vector<steering::Member> members;
+  for (const auto& [name, host] : m_entry_hosts) {
+    if (host.phase != model::HostPhase::kLive) {
+      continue;
+    }
+    members.push_back({name, host.failure_domain, {host.address, relay_port}});
+  }
+  return members;
+}
+
+}  // namespace poplarsail::control
--- /dev/null
+++ b/src/libs/control/plan_keeper.h
@@ -0,0 +1,28 @@
+#ifndef CONTROL_PLAN_KEEPER_H_
+#define CONTROL_PLAN_KEEPER_H_
+
+#include <string>
+#include <vector>
+
+#include "control/config_state.h"
+
+namespace poplarsail::control {
+
+// Whether the member `self` computes the plans of a service (rendezvous
+// hashing). Two planners at once do no harm: plans are written conditionally.
+bool IsPlanner(const std::string& self,
+               const std::string& service,
+               const std::vector<steering::Member>& members);
+
+// The Plan object that the configuration asks for, ready to be written with
+// the version that it follows; nothing where the present one fits.
+// `first_seed` is used for the first plan of a service.
+std::optional<model::Object> NextPlanObject(const ConfigState& config,
+                                            const model::Service& service,
+                                            uint64_t first_seed,
+                                            model::TimePoint now,
+                                            model::TimePoint active_from);
+
+}  // namespace poplarsail::control
+
+#endif  // CONTROL_PLAN_KEEPER_H_
--- /dev/null
+++ b/src/libs/model/errors.h
@@ -0,0 +1,27 @@
+#ifndef MODEL_ERRORS_H_
+#define MODEL_ERRORS_H_
+
+#include <stdexcept>
+#include <string>
+
+namespace poplarsail::model {
+
+// A resource or a settings file holds something that can't be accepted. The
+// text names the source, the key and the reason.
+class ValidationError : public std::runtime_error {
+ public:
+  ValidationError(const std::string& source,
+                  const std::string& key,
+                  const std::string& reason)
+      : std::runtime_error(source + ": key \"" + key + "\": " + reason),
+        m_key(key) {}
+
+  const std::string& key() const { return m_key; }
+
+ private:
+  std::string m_key;
+};
+
+}  // namespace poplarsail::model
+
+#endif  // MODEL_ERRORS_H_
--- /dev/null
+++ b/src/libs/model/settings.cc
@@ -0,0 +1,182 @@
+#include "model/settings.h"
+
+#include <boost/property_tree/ini_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
+#include <charconv>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+#include <fmt/format.h>
+
+#include "model/errors.h"
+
+namespace poplarsail::model {
+
+namespace {
+
+constexpr int64_t kMaxPort = 65'535;
+constexpr int64_t kMaxFlowCapacity = 100'000'000;
+constexpr int64_t kMaxMillis = 3'600'000;
+
+using Values = std::map<std::string, std::string>;
+
+std::string FullName(const SettingKey& key) {
+  return key.section + "." + key.name;
+}
+
+int64_t CheckedNumber(const SettingKey& key,
+                      const std::string& text,
+                      const std::string& source) {
+  int64_t number = 0;
+  const char* text_end = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), text_end, number);
+  if (error != std::errc() || end != text_end || number < key.least ||
+      number > key.most) {
+    throw ValidationError(source, FullName(key),
+                          fmt::format("\"{}\" is not a whole number from {} "
+                                      "to {}",
+                                      text, key.least, key.most));
+  }
+  return number;
+}
+
+void CheckValue(const SettingKey& key,
+                const std::string& text,
+                const std::string& source) {
+  switch (key.type) {
+    case SettingType::kText:
+      return;
+    case SettingType::kNumber:
+      CheckedNumber(key, text, source);
+      return;
+    case SettingType::kAddress: {
+      boost::system::error_code error;
+      boost::asio::ip::make_address(text, error);
+      if (error) {
+        throw ValidationError(source, FullName(key),
+                              fmt::format("\"{}\" is not an IP address", text));
+      }
+      return;
+    }
+    case SettingType::kEndpoint:
+      if (!ParseEndpoint(text)) {
+        throw ValidationError(
+            source, FullName(key),
+            fmt::format("\"{}\" is not an IP address with a port", text));
+      }
+      return;
+  }
+}
+
+// Returns the value of each known key; refuses unknown and missing ones.
+Values CheckedValues(const boost::property_tree::ptree& tree,
+                     const std::string& source) {
+  Values values;
+  for (const SettingKey& key : SettingKeys()) {
+    values[FullName(key)] = key.fallback;
+  }
+  for (const auto& [section, entries] : tree) {
+    if (entries.empty()) {
+      throw ValidationError(source, section,
+                            "is outside any known section or its section is "
+                            "empty; move it under a [section] line");
+    }
+    for (const auto& [name, value] : entries) {
+      const std::string full_name = section + "." + name;
+      const auto known = values.find(full_name);
+      if (known == values.end()) {
+        throw ValidationError(source, full_name,
+                              "is not a known key; see docs/settings.md");
+      }
+      known->second = value.data();
+    }
+  }
+  for (const SettingKey& key : SettingKeys()) {
+    const std::string& text = values[FullName(key)];
+    if (text.empty()) {
+      throw ValidationError(source, FullName(key), "is required; add it");
+    }
+    CheckValue(key, text, source);
+  }
+  return values;
+}
+
+}  // namespace
+
+const std::vector<SettingKey>& SettingKeys() {
+  using Type = SettingType;
+  static const std::vector<SettingKey> keys = {
+      {"host", "name", Type::kText, "", 0, 0,
+       "Name of this entry host, unique in the fleet."},
+      {"host", "failure_domain", Type::kText, "", 0, 0,
+       "Name of the failure domain that this host stands in."},
+      {"host", "address", Type::kAddress, "", 0, 0,
+       "IP address that all of this host's ports are bound to."},
+      {"packets", "port", Type::kNumber, "6080", 1, kMaxPort,
+       "UDP port for IP packets from the fabric."},
+      {"packets", "relay_port", Type::kNumber, "6081", 1, kMaxPort,
+       "UDP port for packets that entry hosts pass to each other."},
+      {"packets", "upstream_port", Type::kNumber, "6080", 1, kMaxPort,
+       "UDP port at which upstream hosts take IP packets."},
+      {"packets", "flow_capacity", Type::kNumber, "1000000", 1024,
+       kMaxFlowCapacity, "Number of flow records that this host can hold."},
+      {"requests", "port", Type::kNumber, "8080", 1, kMaxPort,
+       "TCP port for HTTP/2 requests."},
+      {"admin", "port", Type::kNumber, "9100", 1, kMaxPort,
+       "TCP port for /metrics, /healthz, /readyz and /explain."},
+      {"objects", "endpoint", Type::kEndpoint, "", 0, 0,
+       "Address and port of the platform's object API."},
+      {"control", "announce_ms", Type::kNumber, "2500", 100, kMaxMillis,
+       "Milliseconds between the announcement of a steering plan and its "
+       "use for new flows."},
+      {"stop", "grace_ms", Type::kNumber, "10000", 0, kMaxMillis,
+       "Milliseconds that running requests get after SIGTERM."},
+      {"stop", "linger_ms", Type::kNumber, "2000", 0, kMaxMillis,
+       "Milliseconds that packets are still forwarded after SIGTERM, since "
+       "the fabric learns late that the host leaves."},
+  };
+  return keys;
+}
+
+Settings ParseSettings(const std::string& text, const std::string& source) {
+  boost::property_tree::ptree tree;
+  std::istringstream stream(text);
+  try {
+    boost::property_tree::read_ini(stream, tree);
+  } catch (const boost::property_tree::ini_parser_error& error) {
+    throw ValidationError(source, fmt::format("line {}", error.line()),
+                          error.message());
+  }
+  Values values = CheckedValues(tree, source);
+  const auto number = [&values](const char* name) {
+    return std::stoll(values.at(name));
+  };
+  Settings settings;
+  settings.host_name = values.at("host.name");
+  settings.failure_domain = values.at("host.failure_domain");
+  settings.address = boost::asio::ip::make_address(values.at("host.address"));
+  settings.packet_port = number("packets.port");
+  settings.relay_port = number("packets.relay_port");
+  settings.upstream_packet_port = number("packets.upstream_port");
+  settings.flow_capacity = number("packets.flow_capacity");
+  settings.request_port = number("requests.port");
+  settings.admin_port = number("admin.port");
+  settings.object_api = *ParseEndpoint(values.at("objects.endpoint"));
+  settings.announce_ms = number("control.announce_ms");
+  settings.stop_grace_ms = number("stop.grace_ms");
+  settings.stop_linger_ms = number("stop.linger_ms");
+  return settings;
+}
+
+Settings LoadSettings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    throw ValidationError(path, "", "the file can't be read; check its path");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ParseSettings(text.str(), path);
+}
+
+}  // namespace poplarsail::model
--- /dev/null
+++ b/src/libs/runtime/daemon.cc
@@ -0,0 +1,127 @@
+#include "runtime/daemon.h"
+
+#include <signal.h>
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <cstdlib>
+#include <memory>
+#include <thread>
+#include <utility>
+
+#include "objects/objects.h"
+#include "runtime/admin_duty.h"
+#include "runtime/control_duty.h"
+#include "runtime/packet_duty.h"
+#include "runtime/request_duty.h"
+
+namespace poplarsail::runtime {
+
+namespace {
+
+using telemetry::Log;
+using telemetry::LogLevel;
+
+constexpr std::chrono::milliseconds kStoreCallTimeout{2'000};
+constexpr int kForcedExitCode = 1;
+
+// Starts the duties and joins them.
+class Daemon {
+ public:
+  explicit Daemon(const model::Settings& settings)
+      : m_settings(settings),
+        m_packets(settings),
+        m_requests(settings),
+        m_control(
+            settings,
+            std::make_unique<objects::HttpObjectStore>(settings.object_api,
+                                                       kStoreCallTimeout),
+            &m_packets,
+            &m_requests),
+        m_admin(settings, &m_packets, AllCounters(), [this] {
+          return m_control.is_ready() && !m_is_stopping.load();
+        }) {}
+
+  void Run() {
+    std::thread packets([this] { m_packets.Run(m_stop_packets); });
+    std::thread requests([this] { m_requests.Run(); });
+    std::thread control([this] { m_control.Run(m_stop_control); });
+    std::thread admin([this] { m_admin.Run(m_stop_admin); });
+    Log(LogLevel::kInfo, "daemon", "started",
+        {{"object", "EntryHost/" + m_settings.host_name}});
+    WaitForSignal();
+    const model::TimePoint now = model::Now();
+    const model::TimePoint linger_until =
+        now + std::chrono::milliseconds(m_settings.stop_linger_ms);
+    m_is_stopping.store(true);
+    m_control.set_stopping();
+    m_requests.BeginStop(now +
+                         std::chrono::milliseconds(m_settings.stop_grace_ms));
+    Log(LogLevel::kInfo, "daemon", "stopping gracefully");
+    requests.join();
+    std::this_thread::sleep_until(linger_until);
+    m_stop_control.store(true);
+    control.join();
+    m_stop_packets.store(true);
+    packets.join();
+    m_stop_admin.store(true);
+    admin.join();
+    Log(LogLevel::kInfo, "daemon", "stopped");
+  }
+
+ private:
+  std::vector<std::shared_ptr<telemetry::Counters>> AllCounters() const {
+    auto counters = m_packets.counters();
+    for (const auto& item : m_requests.counters()) {
+      counters.push_back(item);
+    }
+    counters.push_back(m_control.counters());
+    return counters;
+  }
+
+  // Returns at the first signal; a later one ends the process.
+  void WaitForSignal() {
+    m_signals.async_wait([this](const boost::system::error_code&, int) {
+      m_signals.async_wait([](const boost::system::error_code& error, int) {
+        if (!error) {
+          std::_Exit(kForcedExitCode);
+        }
+      });
+      m_got_signal = true;
+    });
+    while (!m_got_signal) {
+      m_signal_context.run_one();
+    }
+    m_second_signal = std::jthread([this](const std::stop_token& token) {
+      while (!token.stop_requested()) {
+        m_signal_context.restart();
+        m_signal_context.run_for(std::chrono::milliseconds(50));
+      }
+    });
+  }
+
+  model::Settings m_settings;
+  std::atomic<bool> m_stop_packets = false;
+  std::atomic<bool> m_stop_control = false;
+  std::atomic<bool> m_stop_admin = false;
+  std::atomic<bool> m_is_stopping = false;
+  PacketDuty m_packets;
+  RequestDuty m_requests;
+  ControlDuty m_control;
+  AdminDuty m_admin;
+  boost::asio::io_context m_signal_context;
+  boost::asio::signal_set m_signals{m_signal_context, SIGTERM, SIGINT};
+  bool m_got_signal = false;
+  std::jthread m_second_signal;
+};
+
+}  // namespace
+
+int RunDaemon(const model::Settings& settings) {
+  Daemon daemon(settings);
+  daemon.Run();
+  return 0;
+}
+
+}  // namespace poplarsail::runtime
--- /dev/null
+++ b/src/libs/runtime/packet_duty.h
@@ -0,0 +1,81 @@
+#ifndef RUNTIME_PACKET_DUTY_H_
+#define RUNTIME_PACKET_DUTY_H_
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "model/model.h"
+#include "steering/steering.h"
+#include "telemetry/telemetry.h"
+#include "transport/transport.h"
+
+namespace poplarsail::runtime {
+
+struct SetPlanCommand {
+  steering::ServicePlanPtr plan;
+};
+struct RemoveServiceCommand {
+  std::string service;
+};
+struct SetMembersCommand {
+  std::shared_ptr<const steering::KeeperMap> members;
+};
+// What the control duty tells the packet duty.
+using PacketCommand =
+    std::variant<SetPlanCommand, RemoveServiceCommand, SetMembersCommand>;
+
+// Where a packet would go, in words for operators.
+struct ExplainAnswer {
+  std::string action;
+  std::string cause;
+  std::string target;
+};
+// What the admin duty asks the packet duty.
+struct ExplainQuery {
+  steering::PacketSummary packet;
+  std::shared_ptr<std::promise<ExplainAnswer>> answer;
+};
+
+// Receives, steers and sends packets in one thread. No allocation and no
+// waiting for other duties on the way of a packet.
+class PacketDuty {
+ public:
+  explicit PacketDuty(const model::Settings& settings);
+
+  // Runs until `stop` is set.
+  void Run(const std::atomic<bool>& stop);
+
+  transport::BoundedRing<PacketCommand>& commands() { return m_commands; }
+  transport::BoundedRing<ExplainQuery>& queries() { return m_queries; }
+  std::vector<std::shared_ptr<telemetry::Counters>> counters() const;
+
+ private:
+  void TakeCommands();
+  void Execute(const PacketCommand& command);
+  void AnswerQueries();
+  bool ServeFabric();
+  bool ServeRelay();
+  void Steer(std::span<const uint8_t> packet,
+             const steering::RelayHeader* relay,
+             model::TimePoint now);
+  void CheckForPause();
+
+  model::Settings m_settings;
+  transport::UdpPacketPort m_fabric_port;
+  transport::UdpPacketPort m_relay_port;
+  steering::Router m_router;
+  transport::BoundedRing<PacketCommand> m_commands;
+  transport::BoundedRing<ExplainQuery> m_queries;
+  model::TimePoint m_next_wake_by;
+  std::shared_ptr<telemetry::Counters> m_decisions;
+  std::shared_ptr<telemetry::Counters> m_drops;
+  std::shared_ptr<telemetry::Counters> m_malformed;
+  std::shared_ptr<telemetry::Counters> m_traffic;
+};
+
+}  // namespace poplarsail::runtime
+
+#endif  // RUNTIME_PACKET_DUTY_H_
--- /dev/null
+++ b/src/libs/runtime/request_duty.h
@@ -0,0 +1,96 @@
+#ifndef RUNTIME_REQUEST_DUTY_H_
+#define RUNTIME_REQUEST_DUTY_H_
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dispatch/dispatch.h"
+#include "model/model.h"
+#include "runtime/upstream_pool.h"
+#include "telemetry/telemetry.h"
+#include "transport/transport.h"
+
+namespace poplarsail::runtime {
+
+// What the control duty tells the request duty.
+struct RequestCommand {
+  std::string service;
+  std::vector<dispatch::RequestUpstream> upstreams;
+  bool is_removed = false;
+};
+
+// Takes HTTP/2 requests from callers, lets the dispatcher decide, and carries
+// requests and answers between callers and upstreams, in one thread.
+//
+// Request headers: x-request-timeout-ms bounds the whole exchange;
+// idempotency-key, or a GET or HEAD method, allows a retry. A refusal carries
+// x-request-outcome ("not-run" or "unknown"), x-refusal-cause and retry-after.
+class RequestDuty {
+ public:
+  explicit RequestDuty(const model::Settings& settings);
+
+  // Runs until the stop that BeginStop started has ended.
+  void Run();
+
+  // Refuses new requests, lets running ones finish up to `deadline`. Any
+  // thread may call it.
+  void BeginStop(model::TimePoint deadline);
+
+  transport::BoundedRing<RequestCommand>& commands() { return m_commands; }
+  std::vector<std::shared_ptr<telemetry::Counters>> counters() const {
+    return {m_outcomes, m_refusals};
+  }
+
+ private:
+  // A caller's request that has no answer yet.
+  struct Pending {
+    std::weak_ptr<transport::Http2Connection> caller;
+    transport::Http2Connection::StreamId stream = 0;
+    transport::HttpMessage message;
+    model::TimePoint deadline;
+  };
+
+  void Accept();
+  void AddCaller(boost::asio::ip::tcp::socket socket);
+  void HandleRequest(const std::shared_ptr<transport::Http2Connection>& caller,
+                     transport::Http2Connection::StreamId stream,
+                     transport::HttpMessage message);
+  void HandleCancel(const transport::Http2Connection* caller,
+                    transport::Http2Connection::StreamId stream);
+  void Execute(const dispatch::DispatchActions& actions);
+  void StartAttempt(const dispatch::DispatchAction& action);
+  void FinishAttempt(dispatch::RequestId id,
+                     dispatch::AttemptOutcome outcome,
+                     transport::HttpMessage answer);
+  void Refuse(const dispatch::DispatchAction& action);
+  void ScheduleTick();
+  void Tick();
+  void StopAccepting();
+  void TakeCommands();
+
+  boost::asio::io_context m_context;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  boost::asio::steady_timer m_tick_timer;
+  dispatch::Dispatcher m_dispatcher;
+  UpstreamPool m_upstreams;
+  transport::BoundedRing<RequestCommand> m_commands;
+  std::set<std::shared_ptr<transport::Http2Connection>> m_callers;
+  std::map<dispatch::RequestId, Pending> m_pending;
+  dispatch::RequestId m_last_id = 0;
+  model::TimePoint m_next_ping;
+  bool m_is_stopping = false;
+  std::atomic<int64_t> m_stop_deadline_ms = 0;
+  std::shared_ptr<telemetry::Counters> m_outcomes;
+  std::shared_ptr<telemetry::Counters> m_refusals;
+};
+
+}  // namespace poplarsail::runtime
+
+#endif  // RUNTIME_REQUEST_DUTY_H_
--- /dev/null
+++ b/src/libs/steering/flow_key.h
@@ -0,0 +1,34 @@
+#ifndef STEERING_FLOW_KEY_H_
+#define STEERING_FLOW_KEY_H_
+
+#include <array>
+#include <boost/asio/ip/address.hpp>
+#include <compare>
+#include <cstdint>
+
+namespace poplarsail::steering {
+
+// An IPv6 address, or an IPv4 address in its IPv4-mapped form.
+using AddressBytes = std::array<uint8_t, 16>;
+
+// The addresses, ports and protocol that name a flow. The destination is the
+// address of a service, so a flow belongs to one service only.
+struct FlowKey {
+  AddressBytes source{};
+  AddressBytes destination{};
+  uint16_t source_port = 0;
+  uint16_t destination_port = 0;
+  uint8_t protocol = 0;
+
+  friend auto operator<=>(const FlowKey&, const FlowKey&) = default;
+};
+
+AddressBytes ToAddressBytes(const boost::asio::ip::address& address);
+
+// Hashes a flow with a seed that is secret to the fleet, so that callers can't
+// choose ports that all fall into one bucket.
+uint64_t HashFlow(const FlowKey& key, uint64_t seed);
+
+}  // namespace poplarsail::steering
+
+#endif  // STEERING_FLOW_KEY_H_
--- /dev/null
+++ b/src/libs/steering/flow_table.cc
@@ -0,0 +1,139 @@
+#include "steering/flow_table.h"
+
+#include <bit>
+
+namespace poplarsail::steering {
+
+namespace {
+
+constexpr int64_t kTickMillis = 4'000;
+// At this share of the places, a pair of full sets is still rare.
+constexpr size_t kFillPercent = 70;
+
+// Rounds up, so that a deadline is never cut short.
+uint16_t ToTicks(TimePoint time) {
+  const int64_t millis = model::ToUnixMillis(time);
+  return static_cast<uint16_t>((millis + kTickMillis - 1) / kTickMillis);
+}
+
+}  // namespace
+
+FlowTable::FlowTable(size_t capacity) : m_capacity(capacity) {
+  const size_t places = capacity * 100 / kFillPercent + kWays;
+  m_sets.resize(std::bit_ceil(places / kWays));
+  m_mask = m_sets.size() - 1;
+}
+
+bool FlowTable::IsLive(const Entry& entry, TimePoint now) {
+  if (entry.upstream == kNoUpstream) {
+    return false;
+  }
+  const auto left = static_cast<int16_t>(entry.deadline_ticks - ToTicks(now));
+  return left >= 0;
+}
+
+FlowRecord FlowTable::ToRecord(const Entry& entry) {
+  return {entry.hash, entry.upstream, entry.is_established != 0,
+          entry.backup_tag};
+}
+
+const FlowTable::Entry* FlowTable::FindEntry(uint64_t hash) const {
+  for (const uint64_t set_hash : {hash, hash >> 32}) {
+    for (const Entry& entry : m_sets[set_hash & m_mask].entries) {
+      if (entry.hash == hash && entry.upstream != kNoUpstream) {
+        return &entry;
+      }
+    }
+  }
+  return nullptr;
+}
+
+FlowTable::Entry* FlowTable::FindEntry(uint64_t hash) {
+  for (Set* set : {&FirstSet(hash), &SecondSet(hash)}) {
+    for (Entry& entry : set->entries) {
+      if (entry.hash == hash && entry.upstream != kNoUpstream) {
+        return &entry;
+      }
+    }
+  }
+  return nullptr;
+}
+
+std::optional<FlowRecord> FlowTable::Find(uint64_t hash, TimePoint now) const {
+  const Entry* entry = FindEntry(hash);
+  if (entry == nullptr || !IsLive(*entry, now)) {
+    return std::nullopt;
+  }
+  return ToRecord(*entry);
+}
+
+std::optional<TimePoint> FlowTable::Deadline(uint64_t hash,
+                                             TimePoint now) const {
+  const Entry* entry = FindEntry(hash);
+  if (entry == nullptr || !IsLive(*entry, now)) {
+    return std::nullopt;
+  }
+  const auto left = static_cast<int16_t>(entry->deadline_ticks - ToTicks(now));
+  return now + std::chrono::milliseconds(left * kTickMillis);
+}
+
+FlowTable::Entry* FlowTable::FindFree(Set& set,
+                                      TimePoint now,
+                                      size_t* free_count) {
+  Entry* free_entry = nullptr;
+  for (Entry& entry : set.entries) {
+    if (IsLive(entry, now)) {
+      continue;
+    }
+    free_entry = &entry;
+    ++*free_count;
+  }
+  return free_entry;
+}
+
+InsertResult FlowTable::Insert(const FlowRecord& record,
+                               TimePoint deadline,
+                               TimePoint now) {
+  const Entry value{record.hash, record.upstream, ToTicks(deadline),
+                    record.backup_tag,
+                    static_cast<uint8_t>(record.is_established ? 1 : 0)};
+  if (Entry* existing = FindEntry(record.hash)) {
+    *existing = value;
+    return InsertResult::kReplaced;
+  }
+  size_t first_free = 0;
+  size_t second_free = 0;
+  Entry* first = FindFree(FirstSet(record.hash), now, &first_free);
+  Entry* second = FindFree(SecondSet(record.hash), now, &second_free);
+  Entry* target = first_free >= second_free ? first : second;
+  if (target == nullptr) {
+    return InsertResult::kFull;
+  }
+  *target = value;
+  return InsertResult::kInserted;
+}
+
+void FlowTable::Erase(uint64_t hash) {
+  if (Entry* entry = FindEntry(hash)) {
+    *entry = Entry{};
+  }
+}
+
+void FlowTable::Sweep(size_t sets, TimePoint now) {
+  for (size_t i = 0; i < sets; ++i) {
+    m_sweep_cursor = (m_sweep_cursor + 1) & m_mask;
+    for (Entry& entry : m_sets[m_sweep_cursor].entries) {
+      if (!IsLive(entry, now)) {
+        entry = Entry{};
+      }
+    }
+  }
+}
+
+size_t FlowTable::CountLive(TimePoint now) const {
+  size_t count = 0;
+  ForEach(now, [&count](const FlowRecord&) { ++count; });
+  return count;
+}
+
+}  // namespace poplarsail::steering
--- /dev/null
+++ b/src/libs/steering/planner.h
@@ -0,0 +1,47 @@
+#ifndef STEERING_PLANNER_H_
+#define STEERING_PLANNER_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "steering/service_plan.h"
+
+namespace poplarsail::steering {
+
+// What the operators' resources ask of one upstream. An upstream that is not
+// listed is gone, and its flows are given up.
+struct UpstreamGoal {
+  std::string name;
+  model::Endpoint address;
+  std::string failure_domain;
+  // Share of new flows in proportion to others; 0 drains the upstream.
+  uint32_t weight = 1;
+
+  friend bool operator==(const UpstreamGoal&, const UpstreamGoal&) = default;
+};
+
+// What the operators' resources ask of one service.
+struct ServiceGoal {
+  std::string service;
+  model::Endpoint address;
+  model::Protocol protocol = model::Protocol::kTcp;
+  // Used for the first plan of a service only.
+  uint64_t hash_seed = 0;
+  std::vector<UpstreamGoal> upstreams;
+
+  friend bool operator==(const ServiceGoal&, const ServiceGoal&) = default;
+};
+
+// Computes the plan that follows `previous` (null for the first one), with as
+// few buckets moved as the weights allow. Returns nothing where the goal is
+// already met. New owners take new flows from `active_from` on; buckets whose
+// every owner is gone change at once. Equal arguments give equal plans.
+std::optional<ServicePlan> NextPlan(const ServicePlan* previous,
+                                    const ServiceGoal& goal,
+                                    TimePoint now,
+                                    TimePoint active_from);
+
+}  // namespace poplarsail::steering
+
+#endif  // STEERING_PLANNER_H_
--- /dev/null
+++ b/src/libs/steering/relay_header.h
@@ -0,0 +1,48 @@
+#ifndef STEERING_RELAY_HEADER_H_
+#define STEERING_RELAY_HEADER_H_
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+#include "steering/flow_table.h"
+
+namespace poplarsail::steering {
+
+enum class RelayPurpose : uint8_t {
+  // The receiver decides, or passes the packet on.
+  kResolve = 1,
+  // The receiver records the flow's upstream, then forwards the packet to it.
+  kRecord = 2,
+};
+
+// Stands before an IP packet that one entry host passes to another.
+struct RelayHeader {
+  RelayPurpose purpose = RelayPurpose::kResolve;
+  // How often the packet was passed on.
+  uint8_t hops = 0;
+  // The flow showed more than its first packet (kRecord).
+  bool is_established = false;
+  // The sender holds the other copy of the record (kRecord).
+  bool sender_keeps_copy = false;
+  // The generation of the sender's plan.
+  uint32_t generation = 0;
+  // The flow's upstream (kRecord).
+  UpstreamId upstream = kNoUpstream;
+
+  friend bool operator==(const RelayHeader&, const RelayHeader&) = default;
+};
+
+// Wire form, big-endian: version 1, purpose, hops, flags, generation (4
+// bytes), upstream (4 bytes).
+inline constexpr size_t kRelayHeaderSize = 12;
+
+std::array<uint8_t, kRelayHeaderSize> Encode(const RelayHeader& header);
+
+// Returns nothing for a short datagram, an unknown version or purpose.
+std::optional<RelayHeader> DecodeRelayHeader(std::span<const uint8_t> datagram);
+
+}  // namespace poplarsail::steering
+
+#endif  // STEERING_RELAY_HEADER_H_
--- /dev/null
+++ b/src/libs/steering/router.h
@@ -0,0 +1,203 @@
+#ifndef STEERING_ROUTER_H_
+#define STEERING_ROUTER_H_
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "steering/flow_key.h"
+#include "steering/flow_table.h"
+#include "steering/keeper_map.h"
+#include "steering/packet_parser.h"
+#include "steering/relay_header.h"
+#include "steering/service_plan.h"
+#include "steering/steering_constants.h"
+
+namespace poplarsail::steering {
+
+enum class Action : uint8_t { kForward, kRelay, kDrop };
+
+enum class DropReason : uint8_t {
+  kNone,
+  kUnknownService,
+  // The service has no upstream that takes new flows.
+  kNoServingUpstream,
+  // Another host recorded an upstream that this host's plan does not have yet.
+  kUnknownUpstream,
+  // A flow record was needed and the table had no place.
+  kTableFull,
+};
+inline constexpr size_t kDropReasonCount = 5;
+
+// Why a decision was taken; `explain` and the counters show it.
+enum class DecisionCause : uint8_t {
+  // The bucket has one owner.
+  kStableBucket,
+  // A record names the flow's upstream.
+  kRecord,
+  // Nobody recorded the flow: it began at the bucket's base.
+  kBase,
+  // A first packet, decided here.
+  kFirstPacket,
+  // Another host decided and this one stores the second copy.
+  kRecordCopy,
+  // A keeper further on may know the flow.
+  kAskKeeper,
+  kDropped,
+};
+inline constexpr size_t kDecisionCauseCount = 7;
+
+std::string_view ToString(DropReason reason);
+std::string_view ToString(DecisionCause cause);
+
+// Where one packet goes.
+struct Decision {
+  Action action = Action::kDrop;
+  DecisionCause cause = DecisionCause::kDropped;
+  DropReason drop_reason = DropReason::kNone;
+  // The flow's upstream (kForward); valid until the plan is replaced.
+  const PlannedUpstream* upstream = nullptr;
+  // The entry host that the packet is passed to, with `header` (kRelay).
+  MemberIndex next_host = 0;
+  RelayHeader header;
+
+  friend bool operator==(const Decision&, const Decision&) = default;
+};
+
+// A flow record on its way to another entry host.
+struct RecordTransfer {
+  FlowRecord record;
+  std::string service;
+  TimePoint deadline;
+
+  friend bool operator==(const RecordTransfer&,
+                         const RecordTransfer&) = default;
+};
+
+// Decides where packets go on one entry host. Buckets with one owner need no
+// state. In a bucket with several owners, the two keepers of the newest
+// owner's failure domain record each new flow: its first packet passes through
+// both on its way, so records cost no control message. Packets without a
+// record belong to the bucket's oldest owner.
+class Router {
+ public:
+  Router(std::string self, size_t flow_capacity, TimePoint started_at);
+
+  // Takes a plan; one of an older generation than the present one is ignored.
+  // Returns whether it was taken.
+  bool SetPlan(ServicePlanPtr plan);
+  void RemoveService(const std::string& service);
+  void SetMembers(std::shared_ptr<const KeeperMap> members, TimePoint now);
+
+  // The process did not run for a while: flows may have begun that it should
+  // have recorded.
+  void NotePause(TimePoint now);
+
+  // `relay` is null for a packet from the fabric.
+  Decision Decide(const PacketSummary& packet,
+                  const RelayHeader* relay,
+                  TimePoint now);
+
+  // As Decide for a packet that opens no flow, without changing anything.
+  Decision Explain(const PacketSummary& packet, TimePoint now) const;
+
+  const KeeperMap* members() const { return m_members.get(); }
+  ServicePlanPtr FindPlan(const std::string& service) const;
+  FlowTable& flows() { return m_flows; }
+  const FlowTable& flows() const { return m_flows; }
+  // The newest generation seen in packets of other hosts that this host does
+  // not have; 0 for none.
+  uint32_t missed_generation() const { return m_missed_generation; }
+
+ private:
+  struct ServiceKey {
+    AddressBytes address{};
+    uint16_t port = 0;
+    uint8_t protocol = 0;
+    friend bool operator==(const ServiceKey&, const ServiceKey&) = default;
+  };
+  struct ServiceKeyHash {
+    size_t operator()(const ServiceKey& key) const;
+  };
+  struct Entry {
+    ServicePlanPtr plan;
+    uint64_t service_hash = 0;
+  };
+  // One packet on its way through the decision.
+  struct Context {
+    const ServicePlan& plan;
+    const PacketSummary& packet;
+    uint64_t hash = 0;
+    uint32_t bucket = 0;
+    uint32_t slot = 0;
+    uint8_t hops = 0;
+    TimePoint now;
+  };
+  // A host that may hold a record, in the order in which hosts are asked.
+  struct PathStep {
+    MemberIndex host = 0;
+    // Position among the distinct failure domains of the links, newest first.
+    uint8_t stage = 0;
+    // Position among the stage's candidates.
+    uint8_t rank = 0;
+  };
+  using Path = std::vector<PathStep>;
+
+  static ServiceKey KeyOf(const ServicePlan& plan);
+  Context MakeContext(const Entry& entry,
+                      const PacketSummary& packet,
+                      const RelayHeader* relay,
+                      TimePoint now) const;
+  Decision DecideInTransition(const Context& context, const RelayHeader* relay);
+  Decision DecideFirst(const Context& context);
+  Decision RecordAndPassOn(const Context& context,
+                           UpstreamId upstream,
+                           bool is_established);
+  Decision StoreCopy(const Context& context, const RelayHeader& header);
+  Decision ForwardRecorded(const Context& context, const FlowRecord& record);
+  Decision AskOnward(const Context& context) const;
+  std::optional<FlowRecord> FindRecord(const Context& context) const;
+
+  std::span<const MemberIndex> KeepersOfNewest(const Context& context) const;
+  std::span<const MemberIndex> KeepersOf(const Context& context,
+                                         UpstreamId upstream) const;
+  const Path& BuildPath(const Context& context) const;
+  bool KnowsAllFlows(const Context& context, uint8_t stage) const;
+  std::span<const MemberIndex> OwnCandidates(const Context& context) const;
+  int OtherKeeper(const Context& context) const;
+  uint8_t TagOf(int member) const;
+
+  Decision Forward(const Context& context,
+                   UpstreamId upstream,
+                   DecisionCause cause) const;
+  Decision ForwardToBase(const Context& context) const;
+  Decision Relay(const Context& context,
+                 MemberIndex host,
+                 RelayPurpose purpose,
+                 UpstreamId upstream,
+                 bool is_established,
+                 DecisionCause cause) const;
+  void NoteGeneration(const ServicePlan& plan, const RelayHeader* relay);
+
+  std::string m_self;
+  int m_self_index = -1;
+  std::unordered_map<ServiceKey, Entry, ServiceKeyHash> m_services;
+  std::shared_ptr<const KeeperMap> m_members;
+  FlowTable m_flows;
+  // For each slot, since when this host has kept its failure domain's records
+  // without a gap; the far future where it does not keep them.
+  std::vector<TimePoint> m_keeper_since;
+  std::string m_self_domain;
+  uint32_t m_missed_generation = 0;
+  mutable Path m_path;
+};
+
+}  // namespace poplarsail::steering
+
+#endif  // STEERING_ROUTER_H_
--- /dev/null
+++ b/src/libs/steering/service_plan.cc
@@ -0,0 +1,215 @@
+#include "steering/service_plan.h"
+
+#include <algorithm>
+#include <bit>
+#include <set>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "steering/steering_constants.h"
+
+namespace poplarsail::steering {
+
+namespace {
+
+using model::ValidationError;
+
+constexpr int64_t kTextLimit = 256;
+
+nlohmann::json ToJson(const PlannedUpstream& upstream) {
+  return {{"id", upstream.id},
+          {"name", upstream.name},
+          {"address", model::ToString(upstream.address)},
+          {"failureDomain", upstream.failure_domain},
+          {"weight", upstream.weight}};
+}
+
+PlannedUpstream UpstreamFromJson(const nlohmann::json& json,
+                                 const std::string& source) {
+  PlannedUpstream upstream;
+  upstream.id = json.at("id").get<UpstreamId>();
+  upstream.name = json.at("name").get<std::string>();
+  upstream.failure_domain = json.at("failureDomain").get<std::string>();
+  upstream.weight = json.at("weight").get<uint32_t>();
+  const auto address =
+      model::ParseEndpoint(json.at("address").get<std::string>());
+  if (!address || upstream.id == kNoUpstream ||
+      upstream.name.size() > kTextLimit) {
+    throw ValidationError(source, "upstreams",
+                          "has an entry with a bad id, name or address");
+  }
+  upstream.address = *address;
+  return upstream;
+}
+
+// A chain is [base, [upstream, announcedAt, activeFrom]...], or the base alone.
+nlohmann::json ToJson(const BucketChain& chain) {
+  if (chain.links.empty()) {
+    return chain.base;
+  }
+  nlohmann::json json = {chain.base};
+  for (const BucketLink& link : chain.links) {
+    json.push_back({link.upstream, model::ToUnixMillis(link.announced_at),
+                    model::ToUnixMillis(link.active_from)});
+  }
+  return json;
+}
+
+BucketChain ChainFromJson(const nlohmann::json& json) {
+  BucketChain chain;
+  if (!json.is_array()) {
+    chain.base = json.get<UpstreamId>();
+    return chain;
+  }
+  chain.base = json.at(0).get<UpstreamId>();
+  for (size_t i = 1; i < json.size(); ++i) {
+    const nlohmann::json& link = json.at(i);
+    chain.links.push_back({link.at(0).get<UpstreamId>(),
+                           model::FromUnixMillis(link.at(1).get<int64_t>()),
+                           model::FromUnixMillis(link.at(2).get<int64_t>())});
+  }
+  return chain;
+}
+
+void CheckChains(const std::vector<PlannedUpstream>& upstreams,
+                 const std::vector<BucketChain>& chains,
+                 const std::string& source) {
+  const size_t count = chains.size();
+  if (!std::has_single_bit(count) || count > kMaxBuckets) {
+    throw ValidationError(source, "chains",
+                          "must hold a power of two of buckets, 32768 at most");
+  }
+  std::set<UpstreamId> known = {kNoUpstream};
+  for (const PlannedUpstream& upstream : upstreams) {
+    known.insert(upstream.id);
+  }
+  for (const BucketChain& chain : chains) {
+    bool is_known = known.contains(chain.base);
+    for (const BucketLink& link : chain.links) {
+      is_known = is_known && known.contains(link.upstream);
+    }
+    if (!is_known) {
+      throw ValidationError(source, "chains",
+                            "names an upstream that is not in the plan");
+    }
+  }
+}
+
+}  // namespace
+
+ServicePlan::ServicePlan(std::string service,
+                         model::Endpoint address,
+                         model::Protocol protocol,
+                         uint32_t generation,
+                         uint64_t hash_seed,
+                         UpstreamId next_upstream_id,
+                         std::vector<PlannedUpstream> upstreams,
+                         std::vector<BucketChain> chains)
+    : m_service(std::move(service)),
+      m_address(std::move(address)),
+      m_protocol(protocol),
+      m_generation(generation),
+      m_hash_seed(hash_seed),
+      m_next_upstream_id(next_upstream_id),
+      m_upstreams(std::move(upstreams)) {
+  m_base.reserve(chains.size());
+  m_link_offsets.reserve(chains.size() + 1);
+  for (const BucketChain& chain : chains) {
+    m_base.push_back(chain.base);
+    m_link_offsets.push_back(static_cast<uint32_t>(m_links.size()));
+    m_links.insert(m_links.end(), chain.links.begin(), chain.links.end());
+  }
+  m_link_offsets.push_back(static_cast<uint32_t>(m_links.size()));
+}
+
+BucketChain ServicePlan::Chain(uint32_t bucket) const {
+  const auto links = Links(bucket);
+  return {m_base[bucket], {links.begin(), links.end()}};
+}
+
+UpstreamId ServicePlan::OwnerOfNewFlows(uint32_t bucket, TimePoint now) const {
+  UpstreamId owner = m_base[bucket];
+  for (const BucketLink& link : Links(bucket)) {
+    if (link.active_from > now) {
+      break;
+    }
+    owner = link.upstream;
+  }
+  return owner;
+}
+
+const PlannedUpstream* ServicePlan::FindUpstream(UpstreamId id) const {
+  const auto found =
+      std::lower_bound(m_upstreams.begin(), m_upstreams.end(), id,
+                       [](const PlannedUpstream& upstream, UpstreamId wanted) {
+                         return upstream.id < wanted;
+                       });
+  if (found == m_upstreams.end() || found->id != id) {
+    return nullptr;
+  }
+  return &*found;
+}
+
+size_t ServicePlan::memory_bytes() const {
+  return sizeof(*this) + m_upstreams.capacity() * sizeof(PlannedUpstream) +
+         m_base.capacity() * sizeof(UpstreamId) +
+         m_link_offsets.capacity() * sizeof(uint32_t) +
+         m_links.capacity() * sizeof(BucketLink);
+}
+
+nlohmann::json ToJson(const ServicePlan& plan) {
+  nlohmann::json upstreams = nlohmann::json::array();
+  for (const PlannedUpstream& upstream : plan.upstreams()) {
+    upstreams.push_back(ToJson(upstream));
+  }
+  nlohmann::json chains = nlohmann::json::array();
+  for (uint32_t bucket = 0; bucket < plan.bucket_count(); ++bucket) {
+    chains.push_back(ToJson(plan.Chain(bucket)));
+  }
+  return {
+      {"service", plan.service()},
+      {"address", model::ToString(plan.address())},
+      {"protocol", plan.protocol() == model::Protocol::kTcp ? "tcp" : "udp"},
+      {"generation", plan.generation()},
+      {"hashSeed", plan.hash_seed()},
+      {"nextUpstreamId", plan.next_upstream_id()},
+      {"upstreams", upstreams},
+      {"chains", chains}};
+}
+
+ServicePlan ServicePlanFromJson(const nlohmann::json& json,
+                                const std::string& source) {
+  try {
+    const auto address =
+        model::ParseEndpoint(json.at("address").get<std::string>());
+    if (!address) {
+      throw ValidationError(source, "address", "is not an address and a port");
+    }
+    std::vector<PlannedUpstream> upstreams;
+    for (const nlohmann::json& item : json.at("upstreams")) {
+      upstreams.push_back(UpstreamFromJson(item, source));
+    }
+    std::sort(upstreams.begin(), upstreams.end(),
+              [](const PlannedUpstream& a, const PlannedUpstream& b) {
+                return a.id < b.id;
+              });
+    std::vector<BucketChain> chains;
+    for (const nlohmann::json& item : json.at("chains")) {
+      chains.push_back(ChainFromJson(item));
+    }
+    CheckChains(upstreams, chains, source);
+    return ServicePlan(json.at("service").get<std::string>(), *address,
+                       json.at("protocol").get<std::string>() == "udp"
+                           ? model::Protocol::kUdp
+                           : model::Protocol::kTcp,
+                       json.at("generation").get<uint32_t>(),
+                       json.at("hashSeed").get<uint64_t>(),
+                       json.at("nextUpstreamId").get<UpstreamId>(),
+                       std::move(upstreams), std::move(chains));
+  } catch (const nlohmann::json::exception& error) {
+    throw ValidationError(source, "spec", error.what());
+  }
+}
+
+}  // namespace poplarsail::steering
--- /dev/null
+++ b/src/libs/telemetry/log.cc
@@ -0,0 +1,78 @@
+#include "telemetry/log.h"
+
+#include <chrono>
+#include <cstdio>
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+namespace poplarsail::telemetry {
+
+namespace {
+
+std::string_view LevelName(LogLevel level) {
+  switch (level) {
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "unknown";
+}
+
+bool NeedsQuotes(std::string_view value) {
+  for (const char c : value) {
+    const bool is_plain = c > ' ' && c != '"' && c != '=' && c != '\\';
+    if (!is_plain) {
+      return true;
+    }
+  }
+  return value.empty();
+}
+
+std::string Quoted(std::string_view value) {
+  if (!NeedsQuotes(value)) {
+    return std::string(value);
+  }
+  std::string quoted = "\"";
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      quoted += '\\';
+      quoted += c;
+      continue;
+    }
+    const bool is_control = static_cast<unsigned char>(c) < ' ';
+    quoted += is_control ? '?' : c;
+  }
+  return quoted + "\"";
+}
+
+}  // namespace
+
+std::string FormatLogLine(LogLevel level,
+                          std::string_view duty,
+                          std::string_view message,
+                          std::initializer_list<LogField> fields) {
+  std::string line = fmt::format("level={} duty={} msg={}", LevelName(level),
+                                 duty, Quoted(message));
+  for (const LogField& field : fields) {
+    line += fmt::format(" {}={}", field.key, Quoted(field.value));
+  }
+  return line;
+}
+
+void Log(LogLevel level,
+         std::string_view duty,
+         std::string_view message,
+         std::initializer_list<LogField> fields) {
+  const auto now = std::chrono::system_clock::now();
+  const std::string line =
+      fmt::format("time={:%FT%TZ} {}\n",
+                  fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
+                  FormatLogLine(level, duty, message, fields));
+  fmt::print(stderr, "{}", line);
+}
+
+}  // namespace poplarsail::telemetry
--- /dev/null
+++ b/src/libs/telemetry/telemetry.h
@@ -0,0 +1,8 @@
+// Log lines for changes of state, and counters for everything else.
+#ifndef TELEMETRY_TELEMETRY_H_
+#define TELEMETRY_TELEMETRY_H_
+
+#include "telemetry/counters.h"
+#include "telemetry/log.h"
+
+#endif  // TELEMETRY_TELEMETRY_H_
--- /dev/null
+++ b/src/libs/transport/udp_packet_port.h
@@ -0,0 +1,43 @@
+#ifndef TRANSPORT_UDP_PACKET_PORT_H_
+#define TRANSPORT_UDP_PACKET_PORT_H_
+
+#include <cstddef>
+#include <memory>
+
+#include "transport/packet_port.h"
+
+namespace poplarsail::transport {
+
+inline constexpr size_t kDefaultBatchSize = 64;
+
+// A packet port on a UDP socket with recvmmsg and sendmmsg. Not thread-safe.
+class UdpPacketPort : public PacketPort {
+ public:
+  // Binds to `local`; port 0 lets the system choose. Throws
+  // std::system_error with the address in its text.
+  explicit UdpPacketPort(const boost::asio::ip::address& address,
+                         uint16_t port,
+                         size_t batch_size = kDefaultBatchSize);
+  ~UdpPacketPort() override;
+
+  UdpPacketPort(const UdpPacketPort&) = delete;
+  UdpPacketPort& operator=(const UdpPacketPort&) = delete;
+
+  std::span<const std::span<const uint8_t>> Receive() override;
+  void Queue(const model::Endpoint& destination,
+             std::span<const uint8_t> header,
+             std::span<const uint8_t> payload) override;
+  size_t Flush() override;
+
+  // The socket, for poll.
+  int fd() const;
+  model::Endpoint local_endpoint() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace poplarsail::transport
+
+#endif  // TRANSPORT_UDP_PACKET_PORT_H_
--- /dev/null
+++ b/tests/auto/model/tst_settings.cc
@@ -0,0 +1,50 @@
+#include <catch2/catch.hpp>
+
+#include "model/model.h"
+
+namespace poplarsail::model {
+namespace {
+
+constexpr char kGood[] =
+    "[host]\nname = e1\nfailure_domain = regina\naddress = 127.0.0.1\n"
+    "[objects]\nendpoint = 127.0.0.1:8001\n";
+
+struct BadCase {
+  std::string text;
+  std::string expected;
+};
+
+TEST_CASE("settings with required keys only take the defaults") {
+  const Settings settings = ParseSettings(kGood, "host.ini");
+  CHECK(settings.host_name == "e1");
+  CHECK(settings.packet_port == 6080);
+  CHECK(settings.announce_ms == 2500);
+}
+
+TEST_CASE("bad settings name file, key and reason") {
+  const std::vector<BadCase> cases = {
+      {"[host]\nname = e1\n", "host.failure_domain"},
+      {std::string(kGood) + "[packets]\nport = 70000\n",
+       "host.ini: key \"packets.port\": \"70000\" is not a whole number from "
+       "1 to 65535"},
+      {std::string(kGood) + "[packets]\nprot = 1\n", "is not a known key"},
+      {std::string(kGood) + "[packets]\nport = 12x\n", "packets.port"},
+      {std::string(kGood) + "[stop]\ngrace_ms = -1\n", "stop.grace_ms"},
+      {"port = 1\n", "outside any known section"},
+      {"[host\n", "line 1"},
+      {"[host]\nname = e1\nfailure_domain = a\naddress = nowhere\n"
+       "[objects]\nendpoint = 127.0.0.1:8001\n",
+       "is not an IP address"},
+      {"[host]\nname = e1\nfailure_domain = a\naddress = 127.0.0.1\n"
+       "[objects]\nendpoint = 127.0.0.1\n",
+       "objects.endpoint"},
+  };
+  for (const BadCase& item : cases) {
+    INFO(item.text);
+    CHECK_THROWS_WITH(ParseSettings(item.text, "host.ini"),
+                      Catch::Contains(item.expected));
+  }
+}
+
+}  // namespace
+}  // namespace poplarsail::model
--- /dev/null
+++ b/tests/standins/caller_flows.cc
@@ -0,0 +1,162 @@
+#include "standins/caller_flows.h"
+
+#include <algorithm>
+#include <boost/endian/conversion.hpp>
+
+namespace poplarsail::standins {
+
+namespace {
+
+constexpr size_t kIpHeader = 20;
+constexpr size_t kTcpHeader = 20;
+constexpr uint32_t kMaxUnanswered = 10;
+constexpr std::chrono::milliseconds kRepeatAfter{300};
+// Ports of one caller address.
+constexpr uint32_t kPortsPerAddress = 50'000;
+constexpr uint32_t kFirstPort = 10'000;
+// 10.0.0.1 and up.
+constexpr uint32_t kFirstAddress = 0x0a000001;
+
+model::Endpoint CallerOf(uint32_t index) {
+  const boost::asio::ip::address_v4 address(kFirstAddress +
+                                            index / kPortsPerAddress);
+  return {address,
+          static_cast<uint16_t>(kFirstPort + index % kPortsPerAddress)};
+}
+
+}  // namespace
+
+std::vector<uint8_t> BuildTcpPacket(const model::Endpoint& source,
+                                    const model::Endpoint& destination,
+                                    uint8_t flags,
+                                    std::span<const uint8_t> payload) {
+  std::vector<uint8_t> packet(kIpHeader + kTcpHeader + payload.size());
+  packet[0] = 0x45;
+  boost::endian::store_big_u16(packet.data() + 2,
+                               static_cast<uint16_t>(packet.size()));
+  packet[8] = 64;
+  packet[9] = steering::kProtocolTcp;
+  const auto from = source.address.to_v4().to_bytes();
+  const auto to = destination.address.to_v4().to_bytes();
+  std::copy(from.begin(), from.end(), packet.begin() + 12);
+  std::copy(to.begin(), to.end(), packet.begin() + 16);
+  boost::endian::store_big_u16(packet.data() + 20, source.port);
+  boost::endian::store_big_u16(packet.data() + 22, destination.port);
+  packet[32] = 0x50;
+  packet[33] = flags;
+  std::copy(payload.begin(), payload.end(),
+            packet.begin() + kIpHeader + kTcpHeader);
+  return packet;
+}
+
+CallerFlows::CallerFlows(const FlowLoadOptions& options)
+    : m_options(options),
+      m_port(options.callers.address, options.callers.port),
+      m_random(options.seed) {}
+
+void CallerFlows::SetHosts(std::vector<boost::asio::ip::address> hosts) {
+  m_hosts = std::move(hosts);
+}
+
+void CallerFlows::Step(model::TimePoint now) {
+  TakeAnswers(now);
+  if (m_hosts.empty()) {
+    return;
+  }
+  if (m_flows.empty()) {
+    m_next_open = now;
+    for (uint32_t i = 0; i < m_options.flows_at_start; ++i) {
+      OpenFlow(now);
+    }
+  }
+  const std::chrono::milliseconds open_interval(
+      std::max(1U, 1000 / std::max(1U, m_options.new_flows_per_second)));
+  while (m_opens && m_options.new_flows_per_second > 0 && m_next_open <= now) {
+    OpenFlow(now);
+    m_next_open += open_interval;
+  }
+  for (uint32_t i = 0; i < m_flows.size(); ++i) {
+    if (m_flows[i].is_broken || m_flows[i].next_send > now) {
+      continue;
+    }
+    if (m_flows[i].unanswered >= kMaxUnanswered) {
+      Break(&m_flows[i]);
+      continue;
+    }
+    Send(i);
+    ++m_flows[i].unanswered;
+    m_flows[i].next_send = now + kRepeatAfter;
+  }
+  m_port.Flush();
+  m_packets.clear();
+}
+
+void CallerFlows::OpenFlow(model::TimePoint now) {
+  std::uniform_int_distribution<int64_t> spread(
+      0, m_options.packet_interval.count());
+  m_flows.push_back(
+      {.next_send = now + std::chrono::milliseconds(
+                              m_flows.size() < m_options.flows_at_start
+                                  ? spread(m_random)
+                                  : 0)});
+  ++m_result.flows;
+}
+
+void CallerFlows::Send(uint32_t index) {
+  const bool is_first = m_flows[index].upstream.empty();
+  std::array<uint8_t, 4> payload;
+  boost::endian::store_big_u32(payload.data(), index);
+  m_packets.push_back(BuildTcpPacket(CallerOf(index), m_options.service,
+                                     is_first ? kTcpSynFlag : kTcpAckFlag,
+                                     payload));
+  std::uniform_int_distribution<size_t> pick(0, m_hosts.size() - 1);
+  m_port.Queue({m_hosts[pick(m_random)], m_options.host_packet_port}, {},
+               m_packets.back());
+  ++m_result.packets;
+}
+
+void CallerFlows::TakeAnswers(model::TimePoint now) {
+  for (;;) {
+    const auto datagrams = m_port.Receive();
+    if (datagrams.empty()) {
+      return;
+    }
+    for (const auto& datagram : datagrams) {
+      TakeAnswer(datagram, now);
+    }
+  }
+}
+
+void CallerFlows::TakeAnswer(std::span<const uint8_t> datagram,
+                             model::TimePoint now) {
+  const size_t name_length = datagram[1];
+  const std::string upstream(reinterpret_cast<const char*>(datagram.data()) + 2,
+                             name_length);
+  const uint32_t index = boost::endian::load_big_u32(
+      datagram.data() + 2 + name_length + kIpHeader + kTcpHeader);
+  Flow& flow = m_flows.at(index);
+  if (flow.is_broken) {
+    return;
+  }
+  if (datagram[0] == 'R') {
+    Break(&flow);
+    return;
+  }
+  if (flow.upstream.empty()) {
+    flow.upstream = upstream;
+    ++m_result.new_flows_by_upstream[upstream];
+  }
+  if (flow.upstream != upstream) {
+    Break(&flow);
+    return;
+  }
+  flow.unanswered = 0;
+  flow.next_send = now + m_options.packet_interval;
+}
+
+void CallerFlows::Break(Flow* flow) {
+  flow->is_broken = true;
+  ++m_result.broken_flows;
+}
+
+}  // namespace poplarsail::standins
--- /dev/null
+++ b/tests/standins/caller_requests.h
@@ -0,0 +1,76 @@
+#ifndef STANDINS_CALLER_REQUESTS_H_
+#define STANDINS_CALLER_REQUESTS_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "model/model.h"
+#include "transport/transport.h"
+
+namespace poplarsail::standins {
+
+struct RequestLoadOptions {
+  std::string service;
+  uint16_t host_request_port = 8080;
+  uint32_t requests_per_second = 100;
+  uint64_t seed = 1;
+};
+
+struct RequestLoadResult {
+  uint64_t requests = 0;
+  uint64_t answered = 0;
+  // Refused as not run; the caller tried again.
+  uint64_t refused_not_run = 0;
+  uint64_t unknown = 0;
+  uint64_t wrong_answers = 0;
+  // Requests that a refusal called not run, by id of the attempt.
+  std::set<std::string> called_not_run;
+};
+
+// Callers of the request plane: post entries that may run only once, each
+// attempt under its own id, through an entry host at random. An attempt that
+// was refused as not run is repeated after the time that the refusal names.
+class CallerRequests {
+ public:
+  CallerRequests(boost::asio::io_context* context,
+                 const RequestLoadOptions& options);
+
+  void SetHosts(std::vector<boost::asio::ip::address> hosts);
+  void Start();
+  // Opens no new requests; open ones go on.
+  void StopOpening() { m_opens = false; }
+  size_t open_requests() const { return m_open; }
+  const RequestLoadResult& result() const { return m_result; }
+
+ private:
+  void Tick();
+  void Attempt(uint64_t number, uint32_t attempt);
+  void Send(const std::shared_ptr<transport::Http2Connection>& connection,
+            uint64_t number,
+            uint32_t attempt);
+  void Finish(uint64_t number, uint32_t attempt, transport::Exchange exchange);
+  void Retry(uint64_t number, uint32_t attempt);
+
+  boost::asio::io_context* m_context;
+  RequestLoadOptions m_options;
+  boost::asio::steady_timer m_timer;
+  std::mt19937_64 m_random;
+  std::vector<boost::asio::ip::address> m_hosts;
+  std::map<boost::asio::ip::address,
+           std::shared_ptr<transport::Http2Connection>>
+      m_connections;
+  uint64_t m_next_number = 0;
+  size_t m_open = 0;
+  bool m_opens = true;
+  RequestLoadResult m_result;
+};
+
+}  // namespace poplarsail::standins
+
+#endif  // STANDINS_CALLER_REQUESTS_H_
