Fill keeper candidates from other failure domains, so records have two copies

Cause: keepers were chosen from the owner's failure domain only. A domain with one entry host kept one copy of its flow records, and its leaving lost them.

--- a/src/libs/steering/keeper_map.cc
+++ b/src/libs/steering/keeper_map.cc
@@ -1,6 +1,8 @@
 #include "steering/keeper_map.h"
 
 #include <algorithm>
+#include <functional>
+#include <set>
 #include <utility>
 
 #include <xxhash.h>
@@ -20,22 +22,31 @@
 }  // namespace
 
 KeeperMap::KeeperMap(std::vector<Member> members)
-    : m_members(std::move(members)) {
+    : m_members(std::move(members)),
+      m_width(std::min(kKeeperCandidates, m_members.size())) {
   std::sort(m_members.begin(), m_members.end(),
             [](const Member& a, const Member& b) { return a.name < b.name; });
-  std::map<std::string, std::vector<MemberIndex>> pools;
-  std::vector<MemberIndex> everyone;
-  for (size_t i = 0; i < m_members.size(); ++i) {
-    const Member& member = m_members[i];
+  std::set<std::string> domains = {""};
+  for (const Member& member : m_members) {
     m_member_hashes.push_back(
         XXH3_64bits(member.name.data(), member.name.size()));
-    pools[member.failure_domain].push_back(static_cast<MemberIndex>(i));
-    everyone.push_back(static_cast<MemberIndex>(i));
+    domains.insert(member.failure_domain);
   }
-  for (const auto& [domain, pool] : pools) {
-    m_groups.emplace(domain, BuildGroup(pool));
+  for (const std::string& domain : domains) {
+    m_groups.push_back(BuildGroup(domain));
   }
-  m_everyone = BuildGroup(everyone);
+}
+
+GroupIndex KeeperMap::GroupOf(const std::string& failure_domain) const {
+  const auto found =
+      std::lower_bound(m_groups.begin(), m_groups.end(), failure_domain,
+                       [](const Group& group, const std::string& wanted) {
+                         return group.failure_domain < wanted;
+                       });
+  if (found == m_groups.end() || found->failure_domain != failure_domain) {
+    return 0;
+  }
+  return static_cast<GroupIndex>(found - m_groups.begin());
 }
 
 uint32_t KeeperMap::SlotOf(uint64_t service_hash, uint32_t bucket) {
@@ -43,32 +54,28 @@
 }
 
 KeeperMap::Group KeeperMap::BuildGroup(
-    const std::vector<MemberIndex>& pool) const {
-  Group group;
-  group.width = std::min(kKeeperCandidates, pool.size());
-  group.candidates.reserve(group.width * kKeeperSlots);
-  std::vector<std::pair<uint64_t, MemberIndex>> scores(pool.size());
+    const std::string& failure_domain) const {
+  // Scores of members of the domain stay above all others.
+  constexpr uint64_t kOwnDomainBit = uint64_t{1} << 63;
+  Group group{.failure_domain = failure_domain};
+  group.candidates.reserve(m_width * kKeeperSlots);
+  std::vector<std::pair<uint64_t, MemberIndex>> scores(m_members.size());
   for (uint32_t slot = 0; slot < kKeeperSlots; ++slot) {
-    for (size_t i = 0; i < pool.size(); ++i) {
-      scores[i] = {Mix(m_member_hashes[pool[i]], slot), pool[i]};
+    for (size_t i = 0; i < m_members.size(); ++i) {
+      const bool is_own = m_members[i].failure_domain == failure_domain;
+      const uint64_t score = Mix(m_member_hashes[i], slot) >> 1;
+      scores[i] = {is_own ? score | kOwnDomainBit : score,
+                   static_cast<MemberIndex>(i)};
     }
-    std::partial_sort(scores.begin(), scores.begin() + group.width,
-                      scores.end(), std::greater<>());
-    for (size_t i = 0; i < group.width; ++i) {
+    std::partial_sort(scores.begin(), scores.begin() + m_width, scores.end(),
+                      std::greater<>());
+    for (size_t i = 0; i < m_width; ++i) {
       group.candidates.push_back(scores[i].second);
     }
   }
   return group;
 }
 
-std::span<const MemberIndex> KeeperMap::Candidates(
-    const std::string& failure_domain,
-    uint32_t slot) const {
-  const auto found = m_groups.find(failure_domain);
-  const Group& group = found == m_groups.end() ? m_everyone : found->second;
-  return {group.candidates.data() + slot * group.width, group.width};
-}
-
 int KeeperMap::IndexOf(const std::string& name) const {
   const auto found =
       std::lower_bound(m_members.begin(), m_members.end(), name,
--- a/src/libs/steering/keeper_map.h
+++ b/src/libs/steering/keeper_map.h
@@ -2,7 +2,6 @@
 #define STEERING_KEEPER_MAP_H_
 
 #include <cstdint>
-#include <map>
 #include <span>
 #include <string>
 #include <vector>
@@ -25,6 +24,10 @@
 // Position of a member in its KeeperMap.
 using MemberIndex = uint16_t;
 
+// Names a failure domain within one KeeperMap; 0 is for domains without
+// members.
+using GroupIndex = uint16_t;
+
 // Chooses, for each slot and failure domain, the entry hosts that keep the
 // flow records (rendezvous hashing). Hosts with the same members choose alike.
 // Immutable; a change of members makes a new map.
@@ -37,27 +40,37 @@
   // The slot of a bucket. Buckets of all services share kKeeperSlots slots.
   static uint32_t SlotOf(uint64_t service_hash, uint32_t bucket);
 
-  // Members in order of preference, kKeeperCandidates at most. A domain
-  // without members is served by the members of all domains.
-  std::span<const MemberIndex> Candidates(const std::string& failure_domain,
-                                          uint32_t slot) const;
+  GroupIndex GroupOf(const std::string& failure_domain) const;
+  size_t group_count() const { return m_groups.size(); }
+  // The failure domain of a group; empty for group 0.
+  const std::string& DomainOf(GroupIndex group) const {
+    return m_groups[group].failure_domain;
+  }
+
+  // Members in order of preference, kKeeperCandidates at most: those of the
+  // failure domain first, then others.
+  std::span<const MemberIndex> Candidates(GroupIndex group,
+                                          uint32_t slot) const {
+    const Group& found = m_groups[group];
+    return {found.candidates.data() + slot * m_width, m_width};
+  }
 
   // Returns -1 for a name that is no member.
   int IndexOf(const std::string& name) const;
 
  private:
-  // The candidates of all slots, one run of m_width entries for each.
   struct Group {
-    size_t width = 0;
+    std::string failure_domain;
+    // The candidates of all slots, m_width entries for each.
     std::vector<MemberIndex> candidates;
   };
 
-  Group BuildGroup(const std::vector<MemberIndex>& pool) const;
+  Group BuildGroup(const std::string& failure_domain) const;
 
   std::vector<Member> m_members;
   std::vector<uint64_t> m_member_hashes;
-  std::map<std::string, Group, std::less<>> m_groups;
-  Group m_everyone;
+  size_t m_width = 0;
+  std::vector<Group> m_groups;
 };
 
 }  // namespace poplarsail::steering
--- a/src/libs/steering/router.cc
+++ b/src/libs/steering/router.cc
@@ -73,9 +73,7 @@
 }
 
 Router::Router(std::string self, size_t flow_capacity, TimePoint started_at)
-    : m_self(std::move(self)),
-      m_flows(flow_capacity),
-      m_keeper_since(kKeeperSlots, kNever) {
+    : m_self(std::move(self)), m_flows(flow_capacity) {
   SetMembers(std::make_shared<KeeperMap>(std::vector<Member>{}), started_at);
 }
 
@@ -95,7 +93,9 @@
   const uint64_t service_hash = XXH3_64bits(name.data(), name.size());
   m_missed_generation = 0;
   const ServiceKey key = KeyOf(*plan);
-  m_services[key] = {std::move(plan), service_hash};
+  Entry entry{std::move(plan), service_hash, {}};
+  AssignGroups(&entry);
+  m_services[key] = std::move(entry);
   return true;
 }
 
@@ -114,29 +114,55 @@
   return nullptr;
 }
 
+void Router::AssignGroups(Entry* entry) const {
+  entry->groups.clear();
+  for (const PlannedUpstream& upstream : entry->plan->upstreams()) {
+    entry->groups.push_back(m_members->GroupOf(upstream.failure_domain));
+  }
+}
+
 void Router::SetMembers(std::shared_ptr<const KeeperMap> members,
                         TimePoint now) {
+  const std::shared_ptr<const KeeperMap> previous = std::move(m_members);
   m_members = std::move(members);
   m_self_index = m_members->IndexOf(m_self);
-  if (m_self_index < 0) {
-    std::fill(m_keeper_since.begin(), m_keeper_since.end(), kNever);
-    return;
+  std::vector<std::vector<TimePoint>> keeper_since;
+  for (size_t group = 0; group < m_members->group_count(); ++group) {
+    keeper_since.push_back(
+        KeeperTimes(static_cast<GroupIndex>(group), previous.get(), now));
+  }
+  m_keeper_since = std::move(keeper_since);
+  for (auto& [key, entry] : m_services) {
+    AssignGroups(&entry);
+  }
+}
+
+// Since when this host keeps each slot of a group, carried over from the
+// previous members.
+std::vector<TimePoint> Router::KeeperTimes(GroupIndex group,
+                                           const KeeperMap* previous,
+                                           TimePoint now) const {
+  std::vector<TimePoint> times(kKeeperSlots, kNever);
+  if (previous != nullptr) {
+    const std::string& domain = m_members->DomainOf(group);
+    const GroupIndex old_group = previous->GroupOf(domain);
+    if (previous->DomainOf(old_group) == domain) {
+      times = m_keeper_since[old_group];
+    }
   }
-  m_self_domain = m_members->members()[m_self_index].failure_domain;
   for (uint32_t slot = 0; slot < kKeeperSlots; ++slot) {
-    const auto candidates = m_members->Candidates(m_self_domain, slot);
-    if (!IsAmongKeepers(candidates, m_self_index)) {
-      m_keeper_since[slot] = kNever;
-      continue;
-    }
-    m_keeper_since[slot] = std::min(m_keeper_since[slot], now);
+    const auto candidates = m_members->Candidates(group, slot);
+    times[slot] = IsAmongKeepers(candidates, m_self_index)
+                      ? std::min(times[slot], now)
+                      : kNever;
   }
+  return times;
 }
 
 void Router::NotePause(TimePoint now) {
-  for (TimePoint& since : m_keeper_since) {
-    if (since != kNever) {
-      since = now;
+  for (std::vector<TimePoint>& times : m_keeper_since) {
+    for (TimePoint& since : times) {
+      since = since == kNever ? kNever : now;
     }
   }
 }
@@ -149,6 +175,7 @@
   const uint64_t hash = HashFlow(packet.key, plan.hash_seed());
   const uint32_t bucket = plan.BucketOf(hash);
   return {.plan = plan,
+          .groups = entry.groups,
           .packet = packet,
           .hash = hash,
           .bucket = bucket,
@@ -206,7 +233,7 @@
 Decision Router::DecideInTransition(const Context& context,
                                     const RelayHeader* relay) {
   if (context.packet.is_first) {
-    const auto keepers = KeepersOfNewest(context);
+    const auto keepers = Candidates(context, NewestGroup(context));
     const bool asked = relay != nullptr;
     const bool decides = keepers.empty() || keepers[0] == m_self_index ||
                          (asked && IsAmongKeepers(keepers, m_self_index)) ||
@@ -295,7 +322,7 @@
   if ((is_fresh && has_backup) || context.hops >= kMaxRelayHops) {
     return Forward(context, record.upstream, DecisionCause::kRecord);
   }
-  const auto candidates = OwnCandidates(context);
+  const auto candidates = Candidates(context, GroupOfSelf(context));
   if (candidates.empty() || IsAmongKeepers(candidates, m_self_index)) {
     // Renews this record and the other copy by passing the packet through.
     return RecordAndPassOn(context, record.upstream, true);
@@ -310,81 +337,87 @@
   if (context.hops >= kMaxRelayHops) {
     return ForwardToBase(context);
   }
-  const Path& path = BuildPath(context);
+  const Path path = BuildPath(context);
   const auto self = std::find_if(
       path.begin(), path.end(),
       [this](const PathStep& step) { return step.host == m_self_index; });
-  const bool starts = context.hops == 0;
-  const bool is_next_at_start = !path.empty() && path[0].host == m_self_index;
-  if (self == path.end() || (starts && !is_next_at_start)) {
-    if (path.empty()) {
-      return ForwardToBase(context);
-    }
-    return Relay(context, path[0].host, RelayPurpose::kResolve, kNoUpstream,
-                 false, DecisionCause::kAskKeeper);
-  }
-  const bool knows_all = KnowsAllFlows(context, self->stage);
-  for (auto step = self + 1; step != path.end(); ++step) {
-    if (step->host == m_self_index) {
+  const bool starts_here = context.hops == 0 && self != path.begin();
+  auto next = path.begin();
+  if (self != path.end() && !starts_here) {
+    next = self + 1;
+  }
+  const uint32_t known_stages = KnownStages(context);
+  for (; next != path.end(); ++next) {
+    const bool may_know_more = (next->stage_mask & ~known_stages) != 0;
+    if (next->host == m_self_index || !may_know_more) {
       continue;
     }
-    if (knows_all && step->stage == self->stage) {
-      continue;
-    }
-    return Relay(context, step->host, RelayPurpose::kResolve, kNoUpstream,
+    return Relay(context, next->host, RelayPurpose::kResolve, kNoUpstream,
                  false, DecisionCause::kAskKeeper);
   }
   return ForwardToBase(context);
 }
 
-std::span<const MemberIndex> Router::KeepersOf(const Context& context,
-                                               UpstreamId upstream) const {
+GroupIndex Router::GroupOf(const Context& context, UpstreamId upstream) const {
   const PlannedUpstream* planned = context.plan.FindUpstream(upstream);
-  static const std::string no_domain;
-  return m_members->Candidates(
-      planned == nullptr ? no_domain : planned->failure_domain, context.slot);
+  if (planned == nullptr) {
+    return 0;
+  }
+  return context.groups[planned - context.plan.upstreams().data()];
 }
 
-std::span<const MemberIndex> Router::KeepersOfNewest(
-    const Context& context) const {
-  return KeepersOf(context, context.plan.Links(context.bucket).back().upstream);
+GroupIndex Router::NewestGroup(const Context& context) const {
+  return GroupOf(context, context.plan.Links(context.bucket).back().upstream);
 }
 
-// The hosts that may hold the flow's record: for each failure domain of the
-// links, newest first, its candidates.
-const Router::Path& Router::BuildPath(const Context& context) const {
-  m_path.clear();
+Router::Stages Router::StagesOf(const Context& context) const {
+  Stages stages;
   const auto links = context.plan.Links(context.bucket);
-  uint8_t stage = 0;
   for (auto link = links.rbegin(); link != links.rend(); ++link) {
-    const auto candidates = KeepersOf(context, link->upstream);
-    const bool is_listed =
-        candidates.empty() ||
-        std::any_of(m_path.begin(), m_path.end(),
-                    [&candidates](const PathStep& step) {
-                      return step.host == candidates[0] && step.rank == 0;
-                    });
-    if (is_listed) {
-      continue;
+    const GroupIndex group = GroupOf(context, link->upstream);
+    if (std::find(stages.begin(), stages.end(), group) == stages.end()) {
+      stages.push_back(group);
     }
-    for (size_t rank = 0; rank < candidates.size(); ++rank) {
-      m_path.push_back({candidates[rank], stage, static_cast<uint8_t>(rank)});
+  }
+  return stages;
+}
+
+// For each stage its candidates; a host stands where it is met first.
+Router::Path Router::BuildPath(const Context& context) const {
+  Path path;
+  uint32_t stage_bit = 1;
+  for (const GroupIndex group : StagesOf(context)) {
+    for (const MemberIndex host : Candidates(context, group)) {
+      const auto known = std::find_if(
+          path.begin(), path.end(),
+          [host](const PathStep& step) { return step.host == host; });
+      if (known == path.end()) {
+        path.push_back({host, stage_bit});
+      } else {
+        known->stage_mask |= stage_bit;
+      }
     }
-    ++stage;
+    stage_bit <<= 1;
   }
-  return m_path;
+  return path;
 }
 
-// Whether this host recorded each flow of the bucket that the stage's keepers
+// The stages of which this host recorded every flow.
+uint32_t Router::KnownStages(const Context& context) const {
+  uint32_t known = 0;
+  uint32_t stage_bit = 1;
+  for (const GroupIndex group : StagesOf(context)) {
+    known |= KnowsAllFlows(context, group) ? stage_bit : 0;
+    stage_bit <<= 1;
+  }
+  return known;
+}
+
+// Whether this host recorded each flow of the bucket that the group's keepers
 // had to record.
-bool Router::KnowsAllFlows(const Context& context, uint8_t stage) const {
-  const auto candidates = std::find_if(
-      m_path.begin(), m_path.end(),
-      [stage](const PathStep& step) { return step.stage == stage; });
-  const bool is_own_domain =
-      m_members->members()[candidates->host].failure_domain == m_self_domain;
-  const TimePoint since = m_keeper_since[context.slot];
-  if (!is_own_domain || since == kNever) {
+bool Router::KnowsAllFlows(const Context& context, GroupIndex group) const {
+  const TimePoint since = m_keeper_since[group][context.slot];
+  if (since == kNever) {
     return false;
   }
   if (since + kIdleTimeout <= context.now) {
@@ -394,14 +427,25 @@
          context.plan.Links(context.bucket).front().announced_at;
 }
 
-std::span<const MemberIndex> Router::OwnCandidates(
-    const Context& context) const {
-  return m_members->Candidates(m_self_domain, context.slot);
+// The newest of the bucket's groups in which this host is a candidate.
+GroupIndex Router::GroupOfSelf(const Context& context) const {
+  for (const GroupIndex group : StagesOf(context)) {
+    const auto candidates = Candidates(context, group);
+    if (std::find(candidates.begin(), candidates.end(), m_self_index) !=
+        candidates.end()) {
+      return group;
+    }
+  }
+  return NewestGroup(context);
 }
 
-// The best candidate of the own failure domain other than this host.
+// The best keeper of that group other than this host.
 int Router::OtherKeeper(const Context& context) const {
-  for (const MemberIndex candidate : OwnCandidates(context)) {
+  if (context.plan.Links(context.bucket).empty()) {
+    return kNobody;
+  }
+  for (const MemberIndex candidate :
+       Candidates(context, GroupOfSelf(context))) {
     if (candidate != m_self_index) {
       return candidate;
     }
--- a/src/libs/steering/router.h
+++ b/src/libs/steering/router.h
@@ -2,6 +2,7 @@
 #define STEERING_ROUTER_H_
 
 #include <array>
+#include <boost/container/small_vector.hpp>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -128,10 +129,13 @@
   struct Entry {
     ServicePlanPtr plan;
     uint64_t service_hash = 0;
+    // The keepers' group of each of the plan's upstreams.
+    std::vector<GroupIndex> groups;
   };
   // One packet on its way through the decision.
   struct Context {
     const ServicePlan& plan;
+    const std::vector<GroupIndex>& groups;
     const PacketSummary& packet;
     uint64_t hash = 0;
     uint32_t bucket = 0;
@@ -139,16 +143,20 @@
     uint8_t hops = 0;
     TimePoint now;
   };
+  // Groups of the bucket's links without repetition, newest first.
+  using Stages = boost::container::small_vector<GroupIndex, 8>;
   // A host that may hold a record, in the order in which hosts are asked.
   struct PathStep {
     MemberIndex host = 0;
-    // Position among the distinct failure domains of the links, newest first.
-    uint8_t stage = 0;
-    // Position among the stage's candidates.
-    uint8_t rank = 0;
+    // The stages for which the host is a candidate, a bit each.
+    uint32_t stage_mask = 0;
   };
-  using Path = std::vector<PathStep>;
+  using Path = boost::container::small_vector<PathStep, 16>;
 
+  void AssignGroups(Entry* entry) const;
+  std::vector<TimePoint> KeeperTimes(GroupIndex group,
+                                     const KeeperMap* previous,
+                                     TimePoint now) const;
   static ServiceKey KeyOf(const ServicePlan& plan);
   Context MakeContext(const Entry& entry,
                       const PacketSummary& packet,
@@ -164,12 +172,17 @@
   Decision AskOnward(const Context& context) const;
   std::optional<FlowRecord> FindRecord(const Context& context) const;
 
-  std::span<const MemberIndex> KeepersOfNewest(const Context& context) const;
-  std::span<const MemberIndex> KeepersOf(const Context& context,
-                                         UpstreamId upstream) const;
-  const Path& BuildPath(const Context& context) const;
-  bool KnowsAllFlows(const Context& context, uint8_t stage) const;
-  std::span<const MemberIndex> OwnCandidates(const Context& context) const;
+  GroupIndex GroupOf(const Context& context, UpstreamId upstream) const;
+  Stages StagesOf(const Context& context) const;
+  Path BuildPath(const Context& context) const;
+  std::span<const MemberIndex> Candidates(const Context& context,
+                                          GroupIndex group) const {
+    return m_members->Candidates(group, context.slot);
+  }
+  GroupIndex NewestGroup(const Context& context) const;
+  GroupIndex GroupOfSelf(const Context& context) const;
+  bool KnowsAllFlows(const Context& context, GroupIndex group) const;
+  uint32_t KnownStages(const Context& context) const;
   int OtherKeeper(const Context& context) const;
   uint8_t TagOf(int member) const;
 
@@ -190,12 +203,10 @@
   std::unordered_map<ServiceKey, Entry, ServiceKeyHash> m_services;
   std::shared_ptr<const KeeperMap> m_members;
   FlowTable m_flows;
-  // For each slot, since when this host has kept its failure domain's records
-  // without a gap; the far future where it does not keep them.
-  std::vector<TimePoint> m_keeper_since;
-  std::string m_self_domain;
+  // For each group and slot, since when this host has kept the records without
+  // a gap; the far future where it does not keep them.
+  std::vector<std::vector<TimePoint>> m_keeper_since;
   uint32_t m_missed_generation = 0;
-  mutable Path m_path;
 };
 
 }  // namespace poplarsail::steering
