--- /dev/null
+++ b/src/tools/measure/host_steering.cc
@@ -0,0 +1,225 @@
+#include "measure/host_steering.h"
+
+#include <map>
+#include <utility>
+
+namespace poplarsail::measure {
+
+namespace {
+
+using steering::Action;
+using steering::Decision;
+using steering::FlowRecord;
+using steering::FlowTable;
+using steering::PacketSummary;
+using steering::PlannedUpstream;
+using steering::RelayHeader;
+using steering::ServicePlan;
+using steering::ServicePlanPtr;
+using steering::UpstreamId;
+
+// Bytes of one digest entry on the wire: hash and upstream.
+constexpr size_t kDigestEntryBytes = 8 + 4;
+
+// What the ways without keepers share: plans by destination and a flow table.
+class TableSteering : public HostSteering {
+ public:
+  explicit TableSteering(size_t flow_capacity) : m_flows(flow_capacity) {}
+
+  void SetPlan(ServicePlanPtr plan) override {
+    ServicePlanPtr& present =
+        m_plans[steering::ToAddressBytes(plan->address().address)];
+    if (present == nullptr || present->generation() < plan->generation()) {
+      present = std::move(plan);
+    }
+  }
+  void SetMembers(std::shared_ptr<const steering::KeeperMap>,
+                  TimePoint) override {}
+  void NotePause(TimePoint) override {}
+
+  Decision Decide(const PacketSummary& packet,
+                  const RelayHeader*,
+                  TimePoint now) override {
+    const auto found = m_plans.find(packet.key.destination);
+    if (found == m_plans.end()) {
+      return {};
+    }
+    const ServicePlan& plan = *found->second;
+    const uint64_t hash = steering::HashFlow(packet.key, plan.hash_seed());
+    const UpstreamId upstream = Choose(plan, packet, hash, now);
+    Decision decision;
+    decision.upstream = plan.FindUpstream(upstream);
+    decision.action =
+        decision.upstream == nullptr ? Action::kDrop : Action::kForward;
+    return decision;
+  }
+
+  size_t CountRecords(TimePoint now) const override {
+    return m_flows.CountLive(now);
+  }
+
+ protected:
+  virtual UpstreamId Choose(const ServicePlan& plan,
+                            const PacketSummary& packet,
+                            uint64_t hash,
+                            TimePoint now) = 0;
+
+  UpstreamId Recorded(const ServicePlan& plan,
+                      uint64_t hash,
+                      TimePoint now) const {
+    const auto record = m_flows.Find(hash, now);
+    const bool is_good =
+        record && plan.FindUpstream(record->upstream) != nullptr;
+    return is_good ? record->upstream : steering::kNoUpstream;
+  }
+  void Record(uint64_t hash, UpstreamId upstream, TimePoint now) {
+    m_flows.Insert({hash, upstream, true, 0}, now + steering::kIdleTimeout,
+                   now);
+  }
+
+  FlowTable m_flows;
+
+ private:
+  std::map<steering::AddressBytes, ServicePlanPtr> m_plans;
+};
+
+class LocalTableSteering : public TableSteering {
+ public:
+  using TableSteering::TableSteering;
+
+ protected:
+  UpstreamId Choose(const ServicePlan& plan,
+                    const PacketSummary& packet,
+                    uint64_t hash,
+                    TimePoint now) override {
+    const UpstreamId known = Recorded(plan, hash, now);
+    if (known != steering::kNoUpstream && !packet.is_first) {
+      return known;
+    }
+    const UpstreamId owner = plan.OwnerOfNewFlows(plan.BucketOf(hash), now);
+    if (owner != steering::kNoUpstream) {
+      Record(hash, owner, now);
+    }
+    return owner;
+  }
+};
+
+class HistorySteering : public TableSteering {
+ public:
+  using TableSteering::TableSteering;
+
+ protected:
+  UpstreamId Choose(const ServicePlan& plan,
+                    const PacketSummary& packet,
+                    uint64_t hash,
+                    TimePoint now) override {
+    const uint32_t bucket = plan.BucketOf(hash);
+    if (plan.Links(bucket).empty()) {
+      return plan.Base(bucket);
+    }
+    const UpstreamId known = Recorded(plan, hash, now);
+    if (known != steering::kNoUpstream) {
+      return known;
+    }
+    if (!packet.is_first) {
+      return plan.Base(bucket);
+    }
+    const UpstreamId owner = plan.OwnerOfNewFlows(bucket, now);
+    if (owner != plan.Base(bucket) && owner != steering::kNoUpstream) {
+      Record(hash, owner, now);
+      NoteDeviation({hash, owner, true, 0});
+    }
+    return owner;
+  }
+
+  virtual void NoteDeviation(const FlowRecord&) {}
+};
+
+class DigestSteering : public HistorySteering {
+ public:
+  using HistorySteering::HistorySteering;
+
+  Digest TakeDigest() override {
+    Digest digest{std::exchange(m_deviations, {}), 0};
+    digest.wire_bytes = digest.records.size() * kDigestEntryBytes;
+    return digest;
+  }
+  void ReceiveDigest(const Digest& digest, TimePoint now) override {
+    for (const FlowRecord& record : digest.records) {
+      Record(record.hash, record.upstream, now);
+    }
+  }
+
+ protected:
+  void NoteDeviation(const FlowRecord& record) override {
+    m_deviations.push_back(record);
+  }
+
+ private:
+  std::vector<FlowRecord> m_deviations;
+};
+
+// The product's own router.
+class KeeperSteering : public HostSteering {
+ public:
+  KeeperSteering(const std::string& host, size_t flow_capacity, TimePoint now)
+      : m_router(host, flow_capacity, now) {}
+
+  void SetPlan(ServicePlanPtr plan) override {
+    m_router.SetPlan(std::move(plan));
+  }
+  void SetMembers(std::shared_ptr<const steering::KeeperMap> members,
+                  TimePoint now) override {
+    m_router.SetMembers(std::move(members), now);
+  }
+  void NotePause(TimePoint now) override { m_router.NotePause(now); }
+  Decision Decide(const PacketSummary& packet,
+                  const RelayHeader* relay,
+                  TimePoint now) override {
+    return m_router.Decide(packet, relay, now);
+  }
+  const steering::KeeperMap* members() const override {
+    return m_router.members();
+  }
+  size_t CountRecords(TimePoint now) const override {
+    return m_router.flows().CountLive(now);
+  }
+
+ private:
+  steering::Router m_router;
+};
+
+}  // namespace
+
+std::string_view ToString(Way way) {
+  switch (way) {
+    case Way::kLocalTable:
+      return "local-table";
+    case Way::kHistory:
+      return "history";
+    case Way::kDigests:
+      return "digests";
+    case Way::kKeepers:
+      return "keepers";
+  }
+  return "unknown";
+}
+
+std::unique_ptr<HostSteering> MakeHostSteering(Way way,
+                                               const std::string& host,
+                                               size_t flow_capacity,
+                                               TimePoint now) {
+  switch (way) {
+    case Way::kLocalTable:
+      return std::make_unique<LocalTableSteering>(flow_capacity);
+    case Way::kHistory:
+      return std::make_unique<HistorySteering>(flow_capacity);
+    case Way::kDigests:
+      return std::make_unique<DigestSteering>(flow_capacity);
+    case Way::kKeepers:
+      return std::make_unique<KeeperSteering>(host, flow_capacity, now);
+  }
+  return nullptr;
+}
+
+}  // namespace poplarsail::measure
--- /dev/null
+++ b/src/tools/measure/main.cc
@@ -0,0 +1,50 @@
+// Measures decisions on virtual time: poplarsail-measure packets.
+
+#include <exception>
+#include <string>
+
+#include <fmt/format.h>
+#include <cxxopts.hpp>
+
+#include "measure/packet_report.h"
+
+namespace {
+
+constexpr int kExitBoundBroken = 1;
+constexpr int kExitUsage = 2;
+
+int MeasurePackets(int argc, char** argv) {
+  cxxopts::Options options("poplarsail-measure packets",
+                           "Compares ways of steering packets");
+  options.add_options()("h,help", "Show this help")(
+      "way", "Only this way", cxxopts::value<std::string>()->default_value(""))(
+      "case", "Only this case",
+      cxxopts::value<std::string>()->default_value(""))(
+      "seed", "Seed", cxxopts::value<uint64_t>()->default_value("1"))(
+      "scale", "Factor on the load",
+      cxxopts::value<double>()->default_value("1"));
+  const auto arguments = options.parse(argc, argv);
+  if (arguments.count("help") > 0) {
+    fmt::print("{}", options.help());
+    return 0;
+  }
+  const bool is_within_bounds = poplarsail::measure::ReportPackets(
+      {arguments["way"].as<std::string>(), arguments["case"].as<std::string>(),
+       arguments["seed"].as<uint64_t>(), arguments["scale"].as<double>()});
+  return is_within_bounds ? 0 : kExitBoundBroken;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    if (argc >= 2 && std::string(argv[1]) == "packets") {
+      return MeasurePackets(argc - 1, argv + 1);
+    }
+    fmt::print(stderr, "Give what to measure: packets.\n");
+    return kExitUsage;
+  } catch (const std::exception& error) {
+    fmt::print(stderr, "{}\n", error.what());
+    return kExitUsage;
+  }
+}
--- /dev/null
+++ b/src/tools/measure/packet_fleet.cc
@@ -0,0 +1,642 @@
+#include "measure/packet_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace poplarsail::measure {
+
+namespace {
+
+using steering::Action;
+using steering::Decision;
+using steering::RelayHeader;
+
+constexpr int64_t kEpochMs = 1'700'000'000'000;
+constexpr int64_t kAnnounceMs = 2'500;
+// Time from a change to a new plan's arrival at a host.
+constexpr int64_t kUpdateLeastMs = 20;
+constexpr int64_t kUpdateMostMs = 400;
+constexpr int64_t kLateMs = 2'000;
+constexpr int64_t kRetryMs = 500;
+// How late the platform's list of hosts reaches a host, and the fabric.
+constexpr int64_t kListLeastMs = 500;
+constexpr int64_t kListMostMs = 3'000;
+constexpr int64_t kFabricLagMs = 1'000;
+constexpr int64_t kLingerMs = 4'000;
+constexpr int64_t kDigestIntervalMs = 100;
+constexpr int64_t kFirstRetryMs = 1'000;
+constexpr int64_t kLossRetryMs = 300;
+constexpr int64_t kGiveUpMs = 30'000;
+constexpr double kActiveGapMs = 1'500;
+constexpr double kQuietGapMs = 15'000;
+constexpr double kShortLifeMs = 10'000;
+constexpr size_t kFlowCapacity = 250'000;
+constexpr uint32_t kFullWeight = 100;
+constexpr int64_t kStateSampleMs = 10'000;
+constexpr int kMaxCarrySteps = 10;
+constexpr double kRecordBytes = 16 / 0.7;
+constexpr int kNoOwner = -1;
+constexpr double kImbalancePercentile = 0.99;
+
+}  // namespace
+
+struct PacketFleet::Host {
+  std::string name;
+  int domain = 0;
+  std::unique_ptr<HostSteering> steering;
+  // The process runs.
+  bool is_up = true;
+  // The platform's list names the host as live.
+  bool is_listed = true;
+  // The fabric sends packets to it until then, once it is not listed.
+  int64_t fabric_until_ms = INT64_MAX;
+  int64_t fabric_from_ms = 0;
+  int64_t ends_at_ms = INT64_MAX;
+  // The newest member list arrives then; none overtakes another.
+  int64_t members_until_ms = INT64_MIN;
+};
+
+struct PacketFleet::Upstream {
+  std::string name;
+  int domain = 0;
+  uint32_t weight = 0;
+  bool is_present = false;
+  uint64_t open_flows = 0;
+  // The change after which no new flow should come.
+  int64_t closed_at_ms = -1;
+};
+
+struct PacketFleet::Flow {
+  steering::FlowKey key;
+  int owner = kNoOwner;
+  bool is_established = false;
+  bool is_over = false;
+  bool is_quiet = false;
+  int64_t ends_at_ms = 0;
+  int64_t undelivered_since_ms = -1;
+};
+
+// A control message on its way to one host.
+struct PacketFleet::Delivery {
+  steering::ServicePlanPtr plan;
+  std::shared_ptr<const steering::KeeperMap> members;
+  std::shared_ptr<const Digest> digest;
+};
+
+PacketFleet::PacketFleet(Way way,
+                         const FleetOptions& options,
+                         std::vector<FleetEvent> events)
+    : m_way(way),
+      m_options(options),
+      m_events(std::move(events)),
+      m_random(options.seed),
+      m_schedule(options.length_ms + 1),
+      m_domain_out(options.domains),
+      m_domain_cut(options.domains) {
+  std::stable_sort(m_events.begin(), m_events.end(),
+                   [](const FleetEvent& a, const FleetEvent& b) {
+                     return a.at_ms < b.at_ms;
+                   });
+}
+
+PacketFleet::~PacketFleet() = default;
+
+TimePoint PacketFleet::Now() const {
+  return model::FromUnixMillis(kEpochMs + m_now_ms);
+}
+
+int64_t PacketFleet::Exponential(double mean_ms) {
+  std::exponential_distribution<double> distribution(1 / mean_ms);
+  return 1 + static_cast<int64_t>(distribution(m_random));
+}
+
+FleetResult PacketFleet::Run() {
+  for (int i = 0; i < m_options.upstreams; ++i) {
+    ChangeUpstream(i, kFullWeight, true);
+  }
+  Replan();
+  for (int i = 0; i < m_options.hosts; ++i) {
+    AddHost(i);
+  }
+  // The fleet has run for long before the load starts: all know all.
+  m_now_ms = -3'600'000;
+  MembersChanged();
+  for (auto& [at_ms, delivery] : m_deliveries) {
+    m_hosts[delivery.first]->steering->SetMembers(delivery.second.members,
+                                                  Now());
+  }
+  m_deliveries.clear();
+  m_now_ms = 0;
+  for (uint32_t i = 0; i < m_options.open_flows; ++i) {
+    std::bernoulli_distribution is_long(m_options.long_flow_share);
+    OpenFlow(is_long(m_random));
+  }
+  size_t next_event = 0;
+  int64_t next_open_us = 0;
+  for (m_now_ms = 0; m_now_ms < m_options.length_ms; ++m_now_ms) {
+    while (next_event < m_events.size() &&
+           m_events[next_event].at_ms <= m_now_ms) {
+      ApplyEvent(m_events[next_event++]);
+    }
+    RunDeliveries();
+    if (m_now_ms % kDigestIntervalMs == 0) {
+      SpreadDigests();
+    }
+    while (next_open_us <= m_now_ms * 1'000) {
+      OpenFlow(false);
+      next_open_us += 1'000'000 / m_options.new_flows_per_second;
+    }
+    for (size_t i = 0; i < m_schedule[m_now_ms].size(); ++i) {
+      SendPacket(m_schedule[m_now_ms][i]);
+    }
+    std::vector<uint32_t>().swap(m_schedule[m_now_ms]);
+    if (m_now_ms % 1'000 == 999) {
+      SampleSecond();
+    }
+  }
+  double sum = 0;
+  for (const double bytes : m_control_bytes) {
+    sum += bytes;
+    m_result.control_bytes_worst =
+        std::max(m_result.control_bytes_worst, bytes);
+  }
+  m_result.control_bytes_mean = sum / m_control_bytes.size();
+  sum = 0;
+  for (const double imbalance : m_imbalances) {
+    sum += imbalance;
+  }
+  m_result.imbalance_mean = sum / m_imbalances.size();
+  std::sort(m_imbalances.begin(), m_imbalances.end());
+  m_result.imbalance_p99 = m_imbalances[static_cast<size_t>(
+      m_imbalances.size() * kImbalancePercentile)];
+  return m_result;
+}
+
+void PacketFleet::ApplyEvent(const FleetEvent& event) {
+  switch (event.kind) {
+    case EventKind::kDrain:
+      ChangeUpstream(event.subject, 0, true);
+      Replan();
+      return;
+    case EventKind::kAdd:
+      ChangeUpstream(event.subject, kFullWeight, true);
+      Replan();
+      return;
+    case EventKind::kRemove:
+      ChangeUpstream(event.subject, 0, false);
+      GiveUpFlows([&](int owner) { return owner == event.subject; });
+      Replan();
+      return;
+    case EventKind::kSetWeight:
+      ChangeUpstream(event.subject, event.weight, true);
+      Replan();
+      return;
+    case EventKind::kHostLeaves: {
+      Host& host = *m_hosts[event.subject];
+      host.is_listed = false;
+      host.fabric_until_ms = m_now_ms + kFabricLagMs;
+      host.ends_at_ms = m_now_ms + kLingerMs;
+      MembersChanged();
+      return;
+    }
+    case EventKind::kHostDies:
+    case EventKind::kHostPauses: {
+      Host& host = *m_hosts[event.subject];
+      host.is_up = false;
+      host.is_listed = false;
+      host.fabric_until_ms = m_now_ms + kFabricLagMs;
+      MembersChanged();
+      return;
+    }
+    case EventKind::kHostResumes: {
+      Host& host = *m_hosts[event.subject];
+      host.is_up = true;
+      host.is_listed = true;
+      host.fabric_until_ms = INT64_MAX;
+      host.fabric_from_ms = m_now_ms + kFabricLagMs;
+      host.steering->NotePause(Now());
+      MembersChanged();
+      return;
+    }
+    case EventKind::kHostJoins:
+      AddHost(event.subject);
+      MembersChanged();
+      return;
+    case EventKind::kDomainOut:
+      SetDomain(event.subject, false);
+      return;
+    case EventKind::kDomainIn:
+      SetDomain(event.subject, true);
+      return;
+    case EventKind::kDomainCutOff:
+      m_domain_cut[event.subject] = true;
+      return;
+    case EventKind::kDomainHealed:
+      m_domain_cut[event.subject] = false;
+      return;
+    case EventKind::kUpdatesLateAtHalf:
+      m_half_late = event.subject != 0;
+      return;
+    case EventKind::kControlLossy:
+      m_is_lossy = event.subject != 0;
+      return;
+    case EventKind::kPlatformAway:
+      m_platform_away = event.subject != 0;
+      if (m_members_pending) {
+        MembersChanged();
+      }
+      if (m_plan_pending) {
+        Replan();
+      }
+      return;
+    case EventKind::kStickySpray:
+      m_is_sticky = event.subject != 0;
+      return;
+    case EventKind::kRespray:
+      ++m_spray_seed;
+      return;
+  }
+}
+
+void PacketFleet::ChangeUpstream(int number, uint32_t weight, bool is_present) {
+  while (static_cast<int>(m_upstreams.size()) <= number) {
+    const auto index = static_cast<int>(m_upstreams.size());
+    m_upstreams.push_back({.name = fmt::format("u{:02}", index),
+                           .domain = index % m_options.domains});
+  }
+  Upstream& upstream = m_upstreams[number];
+  const bool closes = weight == 0 && upstream.weight > 0;
+  upstream.closed_at_ms = closes ? m_now_ms : upstream.closed_at_ms;
+  if (weight > 0) {
+    upstream.closed_at_ms = -1;
+  }
+  upstream.weight = weight;
+  upstream.is_present = is_present;
+}
+
+void PacketFleet::GiveUpFlows(const std::function<bool(int)>& is_affected) {
+  for (uint32_t i = 0; i < m_flows.size(); ++i) {
+    const Flow& flow = m_flows[i];
+    if (flow.is_over || !flow.is_established || !is_affected(flow.owner)) {
+      continue;
+    }
+    ++m_result.given_up_flows;
+    EndFlow(i);
+  }
+}
+
+// Flows of a domain that is taken out are given up.
+void PacketFleet::SetDomain(int domain, bool is_in) {
+  m_domain_out[domain] = !is_in;
+  for (size_t i = 0; i < m_upstreams.size(); ++i) {
+    if (m_upstreams[i].domain == domain) {
+      ChangeUpstream(static_cast<int>(i), is_in ? kFullWeight : 0, is_in);
+    }
+  }
+  if (!is_in) {
+    GiveUpFlows([&](int owner) { return m_upstreams[owner].domain == domain; });
+  }
+  for (const auto& host : m_hosts) {
+    if (host->domain != domain) {
+      continue;
+    }
+    host->is_listed = is_in;
+    host->fabric_until_ms = is_in ? INT64_MAX : m_now_ms + kFabricLagMs;
+    host->fabric_from_ms = is_in ? m_now_ms + kFabricLagMs : 0;
+  }
+  Replan();
+  MembersChanged();
+}
+
+void PacketFleet::AddHost(int number) {
+  auto host = std::make_unique<Host>();
+  host->name = fmt::format("e{:02}", number);
+  host->domain = number % m_options.domains;
+  host->steering = MakeHostSteering(m_way, host->name, kFlowCapacity, Now());
+  host->fabric_from_ms = m_now_ms + kFabricLagMs;
+  // A host takes the plan and the members, from peers if need be, before it
+  // takes packets.
+  host->steering->SetPlan(m_plan);
+  if (m_members != nullptr) {
+    host->steering->SetMembers(m_members, Now());
+  } else {
+    host->fabric_from_ms = 0;
+  }
+  m_hosts.push_back(std::move(host));
+}
+
+void PacketFleet::MembersChanged() {
+  m_members_pending = m_platform_away;
+  if (m_platform_away) {
+    return;
+  }
+  std::vector<steering::Member> members;
+  for (const auto& host : m_hosts) {
+    if (host->is_listed) {
+      members.push_back({host->name, fmt::format("d{}", host->domain), {}});
+    }
+  }
+  m_members = std::make_shared<const steering::KeeperMap>(std::move(members));
+  std::uniform_int_distribution<int64_t> lag(kListLeastMs, kListMostMs);
+  for (size_t i = 0; i < m_hosts.size(); ++i) {
+    Host& host = *m_hosts[i];
+    host.members_until_ms =
+        std::max(host.members_until_ms, m_now_ms + lag(m_random));
+    Deliver(static_cast<int>(i), host.members_until_ms, {.members = m_members});
+  }
+}
+
+void PacketFleet::Replan() {
+  m_plan_pending = m_platform_away;
+  if (m_platform_away) {
+    return;
+  }
+  steering::ServiceGoal goal;
+  goal.service = "tally";
+  goal.address = *model::ParseEndpoint("203.0.113.10:443");
+  goal.hash_seed = m_options.seed * 7919 + 1;
+  for (size_t i = 0; i < m_upstreams.size(); ++i) {
+    const Upstream& upstream = m_upstreams[i];
+    if (!upstream.is_present) {
+      continue;
+    }
+    goal.upstreams.push_back(
+        {upstream.name,
+         *model::ParseEndpoint(fmt::format("192.0.2.{}:443", i + 1)),
+         fmt::format("d{}", upstream.domain), upstream.weight});
+  }
+  const auto next =
+      steering::NextPlan(m_plan.get(), goal, Now(),
+                         Now() + std::chrono::milliseconds(kAnnounceMs));
+  if (!next) {
+    return;
+  }
+  m_plan = std::make_shared<const steering::ServicePlan>(*next);
+  for (size_t i = 0; i < m_hosts.size(); ++i) {
+    Deliver(static_cast<int>(i), DeliveryTime(static_cast<int>(i)),
+            {.plan = m_plan});
+  }
+  const size_t bytes =
+      nlohmann::json::to_msgpack(steering::ToJson(*m_plan)).size();
+  m_control_bytes_this_second += static_cast<double>(bytes);
+}
+
+int64_t PacketFleet::DeliveryTime(int host) {
+  std::uniform_int_distribution<int64_t> delay(kUpdateLeastMs, kUpdateMostMs);
+  int64_t at_ms = m_now_ms + delay(m_random);
+  if (m_half_late && host % 2 == 1) {
+    at_ms += kLateMs;
+  }
+  std::bernoulli_distribution is_lost(0.05);
+  while (m_is_lossy && is_lost(m_random)) {
+    at_ms += kRetryMs;
+  }
+  return at_ms;
+}
+
+void PacketFleet::Deliver(int host, int64_t at_ms, Delivery delivery) {
+  m_deliveries.emplace(at_ms, std::make_pair(host, std::move(delivery)));
+}
+
+void PacketFleet::RunDeliveries() {
+  for (const auto& host : m_hosts) {
+    if (host->ends_at_ms <= m_now_ms) {
+      host->is_up = false;
+    }
+  }
+  while (!m_deliveries.empty() && m_deliveries.begin()->first <= m_now_ms) {
+    const auto [host_index, delivery] = m_deliveries.begin()->second;
+    m_deliveries.erase(m_deliveries.begin());
+    Host& host = *m_hosts[host_index];
+    if (!host.is_up) {
+      // A paused host reads what waited when it goes on.
+      if (host.ends_at_ms == INT64_MAX) {
+        Deliver(host_index, m_now_ms + kRetryMs, delivery);
+      }
+      continue;
+    }
+    if (delivery.plan != nullptr) {
+      host.steering->SetPlan(delivery.plan);
+    }
+    if (delivery.members != nullptr) {
+      host.steering->SetMembers(delivery.members, Now());
+    }
+    if (delivery.digest != nullptr) {
+      host.steering->ReceiveDigest(*delivery.digest, Now());
+    }
+  }
+}
+
+void PacketFleet::SpreadDigests() {
+  for (size_t from = 0; from < m_hosts.size(); ++from) {
+    if (!m_hosts[from]->is_up) {
+      continue;
+    }
+    const auto digest =
+        std::make_shared<const Digest>(m_hosts[from]->steering->TakeDigest());
+    if (digest->records.empty()) {
+      continue;
+    }
+    // Each host receives what each other host sends.
+    m_control_bytes_this_second += static_cast<double>(digest->wire_bytes);
+    for (size_t to = 0; to < m_hosts.size(); ++to) {
+      if (to != from) {
+        Deliver(static_cast<int>(to), DeliveryTime(static_cast<int>(to)),
+                {.digest = digest});
+      }
+    }
+  }
+}
+
+void PacketFleet::OpenFlow(bool is_long) {
+  const auto index = static_cast<uint32_t>(m_flows.size());
+  Flow flow;
+  flow.key.source[15] = static_cast<uint8_t>(index >> 24);
+  flow.key.source[14] = static_cast<uint8_t>(index >> 16);
+  flow.key.source_port = static_cast<uint16_t>(index);
+  flow.key.source[13] = 10;
+  flow.key.destination = steering::ToAddressBytes(m_plan->address().address);
+  flow.key.destination_port = m_plan->address().port;
+  flow.key.protocol = steering::kProtocolTcp;
+  flow.ends_at_ms = is_long ? INT64_MAX : m_now_ms + Exponential(kShortLifeMs);
+  std::bernoulli_distribution is_quiet(0.5);
+  flow.is_quiet = is_long && is_quiet(m_random);
+  m_flows.push_back(flow);
+  ++m_result.flows;
+  Schedule(index, m_now_ms);
+}
+
+void PacketFleet::Schedule(uint32_t flow, int64_t at_ms) {
+  if (at_ms < m_options.length_ms) {
+    m_schedule[at_ms].push_back(flow);
+  }
+}
+
+void PacketFleet::SendPacket(uint32_t index) {
+  Flow& flow = m_flows[index];
+  if (flow.is_over) {
+    return;
+  }
+  if (flow.is_established && flow.ends_at_ms <= m_now_ms) {
+    EndFlow(index);
+    return;
+  }
+  const steering::PacketSummary packet{
+      .key = flow.key, .is_first = !flow.is_established, .marks_first = true};
+  ++m_result.packets;
+  const std::optional<int> upstream = Carry(index, packet);
+  if (!upstream) {
+    LosePacket(index);
+    return;
+  }
+  Arrive(index, *upstream, packet.is_first);
+}
+
+int PacketFleet::PickHost(uint32_t flow) {
+  std::vector<int> live;
+  for (size_t i = 0; i < m_hosts.size(); ++i) {
+    const Host& host = *m_hosts[i];
+    if (host.fabric_from_ms <= m_now_ms && m_now_ms < host.fabric_until_ms) {
+      live.push_back(static_cast<int>(i));
+    }
+  }
+  if (m_is_sticky) {
+    std::mt19937_64 by_flow(flow * 0x9e3779b97f4a7c15ULL + m_spray_seed);
+    return live[by_flow() % live.size()];
+  }
+  return live[m_random() % live.size()];
+}
+
+std::optional<int> PacketFleet::Carry(uint32_t flow,
+                                      const steering::PacketSummary& packet) {
+  int host_index = PickHost(flow);
+  std::optional<RelayHeader> header;
+  for (int step = 0; step < kMaxCarrySteps; ++step) {
+    Host& host = *m_hosts[host_index];
+    if (!host.is_up) {
+      return std::nullopt;
+    }
+    const Decision decision =
+        host.steering->Decide(packet, header ? &*header : nullptr, Now());
+    const auto is_cut = [&](int domain) {
+      return domain != host.domain &&
+             (m_domain_cut[domain] || m_domain_cut[host.domain]);
+    };
+    if (decision.action == Action::kDrop) {
+      return std::nullopt;
+    }
+    if (decision.action == Action::kForward) {
+      const int number = std::stoi(decision.upstream->name.substr(1));
+      if (is_cut(m_upstreams[number].domain)) {
+        return std::nullopt;
+      }
+      return number;
+    }
+    ++m_result.relays;
+    const auto& members = host.steering->members()->members();
+    const std::string& name = members[decision.next_host].name;
+    host_index = std::stoi(name.substr(1));
+    if (is_cut(m_hosts[host_index]->domain)) {
+      return std::nullopt;
+    }
+    header = decision.header;
+  }
+  return std::nullopt;
+}
+
+void PacketFleet::Arrive(uint32_t index, int number, bool is_first) {
+  Flow& flow = m_flows[index];
+  flow.undelivered_since_ms = -1;
+  if (!is_first) {
+    if (number != flow.owner) {
+      Break(index);
+      return;
+    }
+    Schedule(index, m_now_ms + Exponential(flow.is_quiet ? kQuietGapMs
+                                                         : kActiveGapMs));
+    return;
+  }
+  Upstream& upstream = m_upstreams[number];
+  if (upstream.closed_at_ms >= 0) {
+    m_result.last_new_flow_ms =
+        std::max(m_result.last_new_flow_ms, m_now_ms - upstream.closed_at_ms);
+  }
+  if (flow.owner != kNoOwner) {
+    --m_upstreams[flow.owner].open_flows;
+    --m_open_flows;
+  }
+  flow.owner = number;
+  ++upstream.open_flows;
+  ++m_open_flows;
+  std::bernoulli_distribution is_answer_lost(m_options.lost_first_answers);
+  if (is_answer_lost(m_random)) {
+    Schedule(index, m_now_ms + kFirstRetryMs);
+    return;
+  }
+  flow.is_established = true;
+  Schedule(index,
+           m_now_ms + Exponential(flow.is_quiet ? kQuietGapMs : kActiveGapMs));
+}
+
+void PacketFleet::LosePacket(uint32_t index) {
+  Flow& flow = m_flows[index];
+  ++m_result.lost_packets;
+  if (flow.undelivered_since_ms < 0) {
+    flow.undelivered_since_ms = m_now_ms;
+  }
+  if (m_now_ms - flow.undelivered_since_ms > kGiveUpMs) {
+    Break(index);
+    return;
+  }
+  Schedule(index,
+           m_now_ms + (flow.is_established ? kLossRetryMs : kFirstRetryMs));
+}
+
+void PacketFleet::EndFlow(uint32_t index) {
+  Flow& flow = m_flows[index];
+  flow.is_over = true;
+  if (flow.owner != kNoOwner) {
+    --m_upstreams[flow.owner].open_flows;
+    --m_open_flows;
+  }
+}
+
+void PacketFleet::Break(uint32_t index) {
+  ++m_result.broken_flows;
+  EndFlow(index);
+}
+
+void PacketFleet::SampleSecond() {
+  m_control_bytes.push_back(std::exchange(m_control_bytes_this_second, 0));
+  uint64_t most = 0;
+  uint64_t total = 0;
+  uint64_t count = 0;
+  for (const Upstream& upstream : m_upstreams) {
+    if (upstream.weight == 0) {
+      continue;
+    }
+    most = std::max(most, upstream.open_flows);
+    total += upstream.open_flows;
+    ++count;
+  }
+  if (total > 0) {
+    m_imbalances.push_back(static_cast<double>(most * count) /
+                           static_cast<double>(total));
+  }
+  if (m_now_ms % kStateSampleMs != kStateSampleMs - 1 || m_open_flows == 0) {
+    return;
+  }
+  size_t records = 0;
+  for (const auto& host : m_hosts) {
+    records += host->steering->CountRecords(Now());
+  }
+  m_result.state_bytes_per_flow =
+      std::max(m_result.state_bytes_per_flow,
+               static_cast<double>(records) * kRecordBytes /
+                   static_cast<double>(m_open_flows));
+}
+
+}  // namespace poplarsail::measure
