--- a/src/libs/control/config_state.cc
+++ b/src/libs/control/config_state.cc
@@ -11,6 +11,18 @@
 using model::ObjectKey;
 using objects::WatchEventType;
 
+namespace {
+
+// Reads a time in Unix milliseconds; the far future where there is none.
+model::TimePoint ReadTime(const nlohmann::json& status, const char* key) {
+  const bool is_given = status.is_object() && status.contains(key) &&
+                        status[key].is_number_integer();
+  return is_given ? model::FromUnixMillis(status[key].get<int64_t>())
+                  : model::TimePoint::max();
+}
+
+}  // namespace
+
 ApplyResult ConfigState::Apply(const objects::WatchEvent& event) {
   const uint64_t version = event.object.resource_version;
   if (event.type == WatchEventType::kBookmark) {
@@ -153,12 +165,38 @@
 std::vector<steering::Member> ConfigState::Members(uint16_t relay_port) const {
   std::vector<steering::Member> members;
   for (const auto& [name, host] : m_entry_hosts) {
-    if (host.phase != model::HostPhase::kLive) {
-      continue;
-    }
-    members.push_back({name, host.failure_domain, {host.address, relay_port}});
+    const Object& object = m_objects.at({model::kEntryHostKind, name});
+    members.push_back({name,
+                       host.failure_domain,
+                       {host.address, relay_port},
+                       ReadTime(object.status, kKeeperFromKey),
+                       ReadTime(object.status, kKeeperUntilKey)});
   }
   return members;
 }
 
+std::vector<std::string> ConfigState::FailureDomains() const {
+  std::set<std::string> names;
+  for (const auto& [name, domain] : m_domains) {
+    names.insert(name);
+  }
+  for (const auto& [name, upstream] : m_upstreams) {
+    names.insert(upstream.failure_domain);
+  }
+  for (const auto& [name, host] : m_entry_hosts) {
+    names.insert(host.failure_domain);
+  }
+  return {names.begin(), names.end()};
+}
+
+std::vector<std::string> ConfigState::LiveHosts() const {
+  std::vector<std::string> names;
+  for (const auto& [name, host] : m_entry_hosts) {
+    if (host.phase == model::HostPhase::kLive) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
 }  // namespace poplarsail::control
--- a/src/libs/control/config_state.h
+++ b/src/libs/control/config_state.h
@@ -14,6 +14,10 @@
 
 namespace poplarsail::control {
 
+// Keys of an entry host's status, Unix milliseconds.
+inline constexpr char kKeeperFromKey[] = "keeperFrom";
+inline constexpr char kKeeperUntilKey[] = "keeperUntil";
+
 // What became of an object that was offered to the configuration.
 enum class ApplyResult : uint8_t {
   kApplied,
@@ -63,8 +67,14 @@
   steering::ServiceGoal GoalFor(const model::Service& service) const;
   std::vector<dispatch::RequestUpstream> RequestUpstreamsFor(
       const std::string& service) const;
-  // Live entry hosts, with `relay_port` for packets between them.
+  // The entry hosts, with `relay_port` for packets between them. Each says in
+  // its status from when and until when it keeps flow records; one that says
+  // nothing keeps none.
   std::vector<steering::Member> Members(uint16_t relay_port) const;
+  // All failure domains that resources name, sorted.
+  std::vector<std::string> FailureDomains() const;
+  // Names of the entry hosts that the platform calls live.
+  std::vector<std::string> LiveHosts() const;
 
  private:
   ApplyResult ApplyObject(const model::Object& object);
--- a/src/libs/control/plan_keeper.h
+++ b/src/libs/control/plan_keeper.h
@@ -8,11 +8,11 @@
 
 namespace poplarsail::control {
 
-// Whether the member `self` computes the plans of a service (rendezvous
+// Whether the entry host `self` computes the plans of a service (rendezvous
 // hashing). Two planners at once do no harm: plans are written conditionally.
 bool IsPlanner(const std::string& self,
                const std::string& service,
-               const std::vector<steering::Member>& members);
+               const std::vector<std::string>& live_hosts);
 
 // The Plan object that the configuration asks for, ready to be written with
 // the version that it follows; nothing where the present one fits.
@@ -20,8 +20,7 @@
 std::optional<model::Object> NextPlanObject(const ConfigState& config,
                                             const model::Service& service,
                                             uint64_t first_seed,
-                                            model::TimePoint now,
-                                            model::TimePoint active_from);
+                                            const steering::PlanTiming& timing);
 
 }  // namespace poplarsail::control
 
--- a/src/libs/model/settings.cc
+++ b/src/libs/model/settings.cc
@@ -130,9 +130,12 @@
       {"control", "announce_ms", Type::kNumber, "2500", 100, kMaxMillis,
        "Milliseconds between the announcement of a steering plan and its "
        "use for new flows."},
+      {"control", "leave_ms", Type::kNumber, "1000", 100, kMaxMillis,
+       "Milliseconds between the announcement that an upstream is gone or "
+       "taken out and its last packet."},
       {"stop", "grace_ms", Type::kNumber, "10000", 0, kMaxMillis,
        "Milliseconds that running requests get after SIGTERM."},
-      {"stop", "linger_ms", Type::kNumber, "2000", 0, kMaxMillis,
+      {"stop", "linger_ms", Type::kNumber, "6000", 0, kMaxMillis,
        "Milliseconds that packets are still forwarded after SIGTERM, since "
        "the fabric learns late that the host leaves."},
   };
@@ -164,6 +167,7 @@
   settings.admin_port = number("admin.port");
   settings.object_api = *ParseEndpoint(values.at("objects.endpoint"));
   settings.announce_ms = number("control.announce_ms");
+  settings.leave_ms = number("control.leave_ms");
   settings.stop_grace_ms = number("stop.grace_ms");
   settings.stop_linger_ms = number("stop.linger_ms");
   return settings;
--- a/src/libs/model/settings.h
+++ b/src/libs/model/settings.h
@@ -41,6 +41,7 @@
   uint16_t admin_port = 0;
   Endpoint object_api;
   int64_t announce_ms = 0;
+  int64_t leave_ms = 0;
   int64_t stop_grace_ms = 0;
   int64_t stop_linger_ms = 0;
 
--- a/src/libs/runtime/control_duty.cc
+++ b/src/libs/runtime/control_duty.cc
@@ -19,6 +19,9 @@
 constexpr std::chrono::milliseconds kRetrySpread{800};
 constexpr std::chrono::milliseconds kPlanCheckInterval{1'000};
 constexpr std::chrono::milliseconds kStatusInterval{1'000};
+// Between the announcement that this host keeps records, or stops, and that
+// time; longer than the platform's list takes to reach all hosts.
+constexpr std::chrono::milliseconds kKeeperAnnounce{4'000};
 constexpr int kMaxReadBacks = 3;
 constexpr int kMaxEventsAtOnce = 1'000;
 
@@ -58,6 +61,7 @@
       ServeStore();
     }
     Reconcile();
+    PublishMembers();
     PushPending();
   }
 }
@@ -130,6 +134,7 @@
     return;
   }
   m_reconciled_change = m_config.change_count();
+  m_next_keeper_change = Now();
   PublishMembers();
   PublishPlans();
   PublishRequestUpstreams();
@@ -146,16 +151,17 @@
     return;
   }
   m_next_plan_check = Now() + kPlanCheckInterval;
-  const auto members = m_config.Members(m_settings.relay_port);
+  const auto live_hosts = m_config.LiveHosts();
   for (const auto& [name, service] : m_config.services()) {
     if (service.mode != model::ServiceMode::kPackets ||
-        !control::IsPlanner(m_settings.host_name, name, members)) {
+        !control::IsPlanner(m_settings.host_name, name, live_hosts)) {
       continue;
     }
     const TimePoint now = Now();
     const auto object = control::NextPlanObject(
-        m_config, service, m_random(), now,
-        now + std::chrono::milliseconds(m_settings.announce_ms));
+        m_config, service, m_random(),
+        {now, now + std::chrono::milliseconds(m_settings.announce_ms),
+         now + std::chrono::milliseconds(m_settings.leave_ms)});
     if (!object) {
       continue;
     }
@@ -193,13 +199,21 @@
 }
 
 void ControlDuty::PublishMembers() {
-  auto members = m_config.Members(m_settings.relay_port);
-  if (members == m_published_members) {
+  const TimePoint now = Now();
+  if (now < m_next_keeper_change) {
+    return;
+  }
+  const auto members = m_config.Members(m_settings.relay_port);
+  m_next_keeper_change = steering::NextKeeperChange(members, now);
+  auto keepers = steering::KeepersAt(members, now);
+  const auto domains = m_config.FailureDomains();
+  if (keepers == m_published_keepers && domains == m_published_domains) {
     return;
   }
-  m_published_members = members;
+  m_published_keepers = keepers;
+  m_published_domains = domains;
   m_pending_packets.push_back(SetMembersCommand{
-      std::make_shared<const steering::KeeperMap>(std::move(members))});
+      std::make_shared<const steering::KeeperMap>(std::move(keepers), domains)});
 }
 
 void ControlDuty::PublishRequestUpstreams() {
@@ -237,18 +251,49 @@
   }
 }
 
-void ControlDuty::ReportStatus() {
-  const model::Object* self =
-      m_config.FindObject({model::kEntryHostKind, m_settings.host_name});
-  if (self == nullptr || Now() < m_next_status_attempt) {
-    return;
+// A host that starts begins to keep records after an announcement; one that
+// stops, leaves or stands in a domain that is out ends so.
+void ControlDuty::UpdateKeeperTimes() {
+  const TimePoint announced = Now() + kKeeperAnnounce;
+  const auto self = m_config.entry_hosts().find(m_settings.host_name);
+  const bool is_listed = self != m_config.entry_hosts().end();
+  const bool is_serving =
+      is_listed && self->second.phase == model::HostPhase::kLive &&
+      !m_is_stopping.load() && !m_config.IsDomainOut(m_settings.failure_domain);
+  const bool is_announced =
+      m_keeper_from != TimePoint::max() && m_keeper_until == TimePoint::max();
+  if (is_serving && !is_announced) {
+    m_keeper_from = announced;
+    m_keeper_until = TimePoint::max();
+  } else if (!is_serving && is_announced) {
+    m_keeper_until = announced;
   }
+}
+
+nlohmann::json ControlDuty::CurrentStatus() {
+  UpdateKeeperTimes();
   nlohmann::json status = {
       {"phase", m_is_stopping.load() ? "stopping" : "serving"},
       {"plans", m_published_plans}};
+  if (m_keeper_from != TimePoint::max()) {
+    status[control::kKeeperFromKey] = model::ToUnixMillis(m_keeper_from);
+  }
+  if (m_keeper_until != TimePoint::max()) {
+    status[control::kKeeperUntilKey] = model::ToUnixMillis(m_keeper_until);
+  }
   for (const auto& [key, reason] : m_config.refused()) {
     status["refused"][key.kind + "/" + key.name] = reason;
   }
+  return status;
+}
+
+void ControlDuty::ReportStatus() {
+  const model::Object* self =
+      m_config.FindObject({model::kEntryHostKind, m_settings.host_name});
+  if (self == nullptr || Now() < m_next_status_attempt) {
+    return;
+  }
+  const nlohmann::json status = CurrentStatus();
   if (status == m_reported_status) {
     return;
   }
--- a/src/libs/runtime/control_duty.h
+++ b/src/libs/runtime/control_duty.h
@@ -44,6 +44,8 @@
   void PublishRequestUpstreams();
   void PushPending();
   void ReportStatus();
+  nlohmann::json CurrentStatus();
+  void UpdateKeeperTimes();
 
   model::Settings m_settings;
   std::unique_ptr<objects::ObjectStore> m_store;
@@ -58,7 +60,12 @@
   uint64_t m_reconciled_change = 0;
   bool m_store_is_up = true;
   std::map<std::string, uint32_t> m_published_plans;
-  std::vector<steering::Member> m_published_members;
+  std::vector<steering::Member> m_published_keepers;
+  std::vector<std::string> m_published_domains;
+  model::TimePoint m_next_keeper_change;
+  // When this host keeps flow records, as announced in its status.
+  model::TimePoint m_keeper_from = model::TimePoint::max();
+  model::TimePoint m_keeper_until = model::TimePoint::max();
   std::map<std::string, std::vector<dispatch::RequestUpstream>>
       m_published_upstreams;
   std::deque<PacketCommand> m_pending_packets;
--- a/src/libs/steering/keeper_map.cc
+++ b/src/libs/steering/keeper_map.cc
@@ -19,17 +19,59 @@
   return x ^ (x >> 31);
 }
 
+// Appends the `count` members with the highest scores, best first.
+void AppendBest(std::vector<std::pair<uint64_t, MemberIndex>>* scores,
+                size_t count,
+                std::vector<MemberIndex>* result) {
+  std::partial_sort(scores->begin(), scores->begin() + count, scores->end(),
+                    std::greater<>());
+  for (size_t i = 0; i < count; ++i) {
+    result->push_back((*scores)[i].second);
+  }
+}
+
 }  // namespace
 
-KeeperMap::KeeperMap(std::vector<Member> members)
+std::vector<Member> KeepersAt(const std::vector<Member>& members,
+                              TimePoint now) {
+  std::vector<Member> keepers;
+  for (const Member& member : members) {
+    if (member.keeper_from <= now && now < member.keeper_until) {
+      keepers.push_back(member);
+    }
+  }
+  return keepers;
+}
+
+TimePoint NextKeeperChange(const std::vector<Member>& members, TimePoint now) {
+  TimePoint next = TimePoint::max();
+  for (const Member& member : members) {
+    for (const TimePoint boundary : {member.keeper_from, member.keeper_until}) {
+      if (boundary > now) {
+        next = std::min(next, boundary);
+      }
+    }
+  }
+  return next;
+}
+
+uint16_t TagOfName(const std::string& name) {
+  return static_cast<uint16_t>(XXH3_64bits(name.data(), name.size()) | 1);
+}
+
+KeeperMap::KeeperMap(std::vector<Member> members,
+                     const std::vector<std::string>& failure_domains)
     : m_members(std::move(members)),
       m_width(std::min(kKeeperCandidates, m_members.size())) {
   std::sort(m_members.begin(), m_members.end(),
             [](const Member& a, const Member& b) { return a.name < b.name; });
-  std::set<std::string> domains = {""};
+  std::set<std::string> domains(failure_domains.begin(),
+                                failure_domains.end());
+  domains.insert("");
   for (const Member& member : m_members) {
     m_member_hashes.push_back(
         XXH3_64bits(member.name.data(), member.name.size()));
+    m_tags.push_back(TagOfName(member.name));
     domains.insert(member.failure_domain);
   }
   for (const std::string& domain : domains) {
@@ -55,23 +97,24 @@
 
 KeeperMap::Group KeeperMap::BuildGroup(
     const std::string& failure_domain) const {
-  // Scores of members of the domain stay above all others.
-  constexpr uint64_t kOwnDomainBit = uint64_t{1} << 63;
-  Group group{.failure_domain = failure_domain};
+  Group group{.failure_domain = failure_domain,
+              .tag = TagOfName(failure_domain)};
   group.candidates.reserve(m_width * kKeeperSlots);
-  std::vector<std::pair<uint64_t, MemberIndex>> scores(m_members.size());
+  std::vector<std::pair<uint64_t, MemberIndex>> own;
+  std::vector<std::pair<uint64_t, MemberIndex>> others;
   for (uint32_t slot = 0; slot < kKeeperSlots; ++slot) {
+    own.clear();
+    others.clear();
     for (size_t i = 0; i < m_members.size(); ++i) {
       const bool is_own = m_members[i].failure_domain == failure_domain;
-      const uint64_t score = Mix(m_member_hashes[i], slot) >> 1;
-      scores[i] = {is_own ? score | kOwnDomainBit : score,
-                   static_cast<MemberIndex>(i)};
-    }
-    std::partial_sort(scores.begin(), scores.begin() + m_width, scores.end(),
-                      std::greater<>());
-    for (size_t i = 0; i < m_width; ++i) {
-      group.candidates.push_back(scores[i].second);
+      (is_own ? own : others)
+          .emplace_back(Mix(m_member_hashes[i], slot),
+                        static_cast<MemberIndex>(i));
     }
+    const size_t reserved = others.empty() ? 0 : 1;
+    const size_t own_count = std::min(own.size(), m_width - reserved);
+    AppendBest(&own, own_count, &group.candidates);
+    AppendBest(&others, m_width - own_count, &group.candidates);
   }
   return group;
 }
--- a/src/libs/steering/keeper_map.h
+++ b/src/libs/steering/keeper_map.h
@@ -7,20 +7,38 @@
 #include <vector>
 
 #include "model/model.h"
+#include "steering/relay_header.h"
 #include "steering/steering_constants.h"
 
 namespace poplarsail::steering {
 
+using model::TimePoint;
+
 // An entry host that takes part in steering.
 struct Member {
   std::string name;
   std::string failure_domain;
   // Where the host takes packets that others pass on to it.
   model::Endpoint relay;
+  // The host keeps flow records from then, and until then. Hosts learn of a
+  // change at different times; a stored deadline lets them act on it together.
+  TimePoint keeper_from = TimePoint::min();
+  TimePoint keeper_until = TimePoint::max();
 
   friend bool operator==(const Member&, const Member&) = default;
 };
 
+// The members that keep flow records at time `now`.
+std::vector<Member> KeepersAt(const std::vector<Member>& members,
+                              TimePoint now);
+
+// The next time after `now` at which KeepersAt changes by itself; the far
+// future where it does not.
+TimePoint NextKeeperChange(const std::vector<Member>& members, TimePoint now);
+
+// A short name of a host or failure domain; never 0.
+uint16_t TagOfName(const std::string& name);
+
 // Position of a member in its KeeperMap.
 using MemberIndex = uint16_t;
 
@@ -33,7 +51,10 @@
 // Immutable; a change of members makes a new map.
 class KeeperMap {
  public:
-  explicit KeeperMap(std::vector<Member> members);
+  // `failure_domains` names all domains that upstreams stand in; one without
+  // members is served by the others.
+  KeeperMap(std::vector<Member> members,
+            const std::vector<std::string>& failure_domains);
 
   const std::vector<Member>& members() const { return m_members; }
 
@@ -46,21 +67,27 @@
   const std::string& DomainOf(GroupIndex group) const {
     return m_groups[group].failure_domain;
   }
+  DomainTag DomainTagOf(GroupIndex group) const { return m_groups[group].tag; }
 
   // Members in order of preference, kKeeperCandidates at most: those of the
-  // failure domain first, then others.
+  // failure domain first, then others. The last place is for another domain's
+  // member, who stands in while a whole domain is away.
   std::span<const MemberIndex> Candidates(GroupIndex group,
                                           uint32_t slot) const {
     const Group& found = m_groups[group];
     return {found.candidates.data() + slot * m_width, m_width};
   }
 
+  // A short name of a member, for records and relay headers.
+  HostTag TagOf(MemberIndex member) const { return m_tags[member]; }
+
   // Returns -1 for a name that is no member.
   int IndexOf(const std::string& name) const;
 
  private:
   struct Group {
     std::string failure_domain;
+    DomainTag tag = 0;
     // The candidates of all slots, m_width entries for each.
     std::vector<MemberIndex> candidates;
   };
@@ -69,6 +96,7 @@
 
   std::vector<Member> m_members;
   std::vector<uint64_t> m_member_hashes;
+  std::vector<HostTag> m_tags;
   size_t m_width = 0;
   std::vector<Group> m_groups;
 };
--- a/src/libs/steering/planner.cc
+++ b/src/libs/steering/planner.cc
@@ -26,15 +26,23 @@
   return chain.links.empty() ? chain.base : chain.links.back().upstream;
 }
 
+using Address = std::pair<std::string, model::Endpoint>;
+
 // Gives each goal its number: that of the previous plan while name and address
-// stay, else a fresh one.
+// stay, else a fresh one. Upstreams without a goal are marked as leaving.
 std::vector<PlannedUpstream> NumberUpstreams(const ServicePlan* previous,
                                              const ServiceGoal& goal,
+                                             const PlanTiming& timing,
                                              UpstreamId* next_id) {
-  std::map<std::pair<std::string, model::Endpoint>, UpstreamId> known;
+  std::map<Address, PlannedUpstream> staying;
+  std::vector<PlannedUpstream> upstreams;
   if (previous != nullptr) {
     for (const PlannedUpstream& upstream : previous->upstreams()) {
-      known[{upstream.name, upstream.address}] = upstream.id;
+      if (!upstream.is_leaving()) {
+        staying.emplace(Address{upstream.name, upstream.address}, upstream);
+      } else if (timing.now < upstream.leaves_at + kLeavingSettle) {
+        upstreams.push_back(upstream);
+      }
     }
   }
   std::vector<UpstreamGoal> goals = goal.upstreams;
@@ -42,12 +50,20 @@
             [](const UpstreamGoal& a, const UpstreamGoal& b) {
               return a.name < b.name;
             });
-  std::vector<PlannedUpstream> upstreams;
   for (const UpstreamGoal& wanted : goals) {
-    const auto found = known.find({wanted.name, wanted.address});
-    const UpstreamId id = found != known.end() ? found->second : (*next_id)++;
+    const auto found = staying.find({wanted.name, wanted.address});
+    const bool is_known = found != staying.end();
+    const UpstreamId id = is_known ? found->second.id : (*next_id)++;
     upstreams.push_back({id, wanted.name, wanted.address, wanted.failure_domain,
                          wanted.weight});
+    if (is_known) {
+      staying.erase(found);
+    }
+  }
+  for (auto& [address, upstream] : staying) {
+    upstream.weight = 0;
+    upstream.leaves_at = timing.leaves_at;
+    upstreams.push_back(upstream);
   }
   std::sort(upstreams.begin(), upstreams.end(),
             [](const PlannedUpstream& a, const PlannedUpstream& b) {
@@ -56,23 +72,33 @@
   return upstreams;
 }
 
-// Removes upstreams that are gone, and neighbours that became equal. A last
-// link without an upstream stays. An empty chain has base kNoUpstream.
+// Whether a link without an upstream still keeps new flows off the owner
+// before it.
+bool RefusesNewFlows(const std::vector<BucketLink>& owners,
+                     size_t index,
+                     TimePoint now) {
+  const bool is_last = index + 1 == owners.size();
+  return owners[index].upstream == kNoUpstream && index > 0 &&
+         (is_last || owners[index + 1].active_from > now);
+}
+
+// Removes upstreams that are gone, and neighbours that became equal. An empty
+// chain has base kNoUpstream.
 BucketChain WithoutGone(const BucketChain& chain,
-                        const std::set<UpstreamId>& present) {
+                        const std::set<UpstreamId>& present,
+                        TimePoint now) {
   std::vector<BucketLink> owners = {{chain.base, {}, {}}};
   owners.insert(owners.end(), chain.links.begin(), chain.links.end());
   std::vector<BucketLink> kept;
-  for (const BucketLink& owner : owners) {
-    const bool refuses_new_flows = owner.upstream == kNoUpstream &&
-                                   &owner == &owners.back() && !kept.empty();
-    if (!present.contains(owner.upstream) && !refuses_new_flows) {
+  for (size_t i = 0; i < owners.size(); ++i) {
+    const bool refuses = !kept.empty() && RefusesNewFlows(owners, i, now);
+    if (!present.contains(owners[i].upstream) && !refuses) {
       continue;
     }
-    if (!kept.empty() && kept.back().upstream == owner.upstream) {
+    if (!kept.empty() && kept.back().upstream == owners[i].upstream) {
       continue;
     }
-    kept.push_back(owner);
+    kept.push_back(owners[i]);
   }
   BucketChain result;
   if (kept.empty()) {
@@ -125,9 +151,13 @@
  public:
   Rebalancer(std::vector<BucketChain>* chains,
              const std::vector<PlannedUpstream>& upstreams,
-             TimePoint now,
-             TimePoint active_from)
-      : m_chains(*chains), m_now(now), m_active_from(active_from) {
+             const PlanTiming& timing)
+      : m_chains(*chains), m_timing(timing) {
+    for (const PlannedUpstream& upstream : upstreams) {
+      if (upstream.is_leaving()) {
+        m_leaving.emplace(upstream.id, upstream.leaves_at);
+      }
+    }
     for (const BucketChain& chain : m_chains) {
       ++m_owned[OwnerAtLast(chain)];
     }
@@ -217,31 +247,56 @@
       chain->base = receiver;
       return;
     }
-    if (OwnerAtLast(*chain) == kNoUpstream) {
-      chain->links.pop_back();
-    }
-    chain->links.push_back({receiver, m_now, m_active_from});
+    const auto leaving = m_leaving.find(OwnerAtLast(*chain));
+    const TimePoint active_from =
+        leaving == m_leaving.end() ? m_timing.active_from : leaving->second;
+    chain->links.push_back({receiver, m_timing.now, active_from});
   }
 
   std::vector<BucketChain>& m_chains;
-  TimePoint m_now;
-  TimePoint m_active_from;
+  PlanTiming m_timing;
+  std::map<UpstreamId, TimePoint> m_leaving;
   Quotas m_owned;
   Quotas m_quotas;
 };
 
-std::vector<BucketChain> CarryOver(const ServicePlan* previous,
-                                   const std::vector<PlannedUpstream>& now) {
+// Links to a leaving upstream that never took flows are dropped.
+void DropPendingLinks(BucketChain* chain,
+                      const std::set<UpstreamId>& leaving,
+                      TimePoint now) {
+  std::erase_if(chain->links, [&](const BucketLink& link) {
+    return link.active_from > now && leaving.contains(link.upstream);
+  });
+}
+
+std::vector<BucketChain> CarryOver(
+    const ServicePlan* previous,
+    const std::vector<PlannedUpstream>& upstreams,
+    TimePoint now) {
   if (previous == nullptr) {
-    return std::vector<BucketChain>(BucketCountFor(now.size()));
+    return std::vector<BucketChain>(BucketCountFor(upstreams.size()));
   }
   std::set<UpstreamId> present;
-  for (const PlannedUpstream& upstream : now) {
+  std::set<UpstreamId> leaving;
+  for (const PlannedUpstream& upstream : upstreams) {
     present.insert(upstream.id);
+    if (upstream.is_leaving()) {
+      leaving.insert(upstream.id);
+    }
   }
   std::vector<BucketChain> chains;
   for (uint32_t bucket = 0; bucket < previous->bucket_count(); ++bucket) {
-    chains.push_back(WithoutGone(previous->Chain(bucket), present));
+    BucketChain chain = previous->Chain(bucket);
+    DropPendingLinks(&chain, leaving, now);
+    chains.push_back(WithoutGone(chain, present, now));
+  }
+  return chains;
+}
+
+std::vector<BucketChain> AllChains(const ServicePlan& plan) {
+  std::vector<BucketChain> chains;
+  for (uint32_t bucket = 0; bucket < plan.bucket_count(); ++bucket) {
+    chains.push_back(plan.Chain(bucket));
   }
   return chains;
 }
@@ -250,35 +305,26 @@
 
 std::optional<ServicePlan> NextPlan(const ServicePlan* previous,
                                     const ServiceGoal& goal,
-                                    TimePoint now,
-                                    TimePoint active_from) {
+                                    const PlanTiming& timing) {
   UpstreamId next_id = previous == nullptr ? 1 : previous->next_upstream_id();
   std::vector<PlannedUpstream> upstreams =
-      NumberUpstreams(previous, goal, &next_id);
-  std::vector<BucketChain> chains = CarryOver(previous, upstreams);
-  Rebalancer(&chains, upstreams, now, active_from).Run();
-  const uint32_t generation =
-      previous == nullptr ? 1 : previous->generation() + 1;
-  const uint64_t seed =
-      previous == nullptr ? goal.hash_seed : previous->hash_seed();
-  ServicePlan plan(goal.service, goal.address, goal.protocol, generation, seed,
-                   next_id, std::move(upstreams), chains);
+      NumberUpstreams(previous, goal, timing, &next_id);
+  std::vector<BucketChain> chains = CarryOver(previous, upstreams, timing.now);
+  Rebalancer(&chains, upstreams, timing).Run();
   if (previous == nullptr) {
-    return plan;
+    return ServicePlan(goal.service, goal.address, goal.protocol, 1,
+                       goal.hash_seed, next_id, std::move(upstreams), chains);
   }
-  const ServicePlan unchanged(
-      goal.service, previous->address(), previous->protocol(), generation, seed,
-      next_id, previous->upstreams(), [&] {
-        std::vector<BucketChain> old;
-        for (uint32_t i = 0; i < previous->bucket_count(); ++i) {
-          old.push_back(previous->Chain(i));
-        }
-        return old;
-      }());
-  if (plan == unchanged) {
+  const bool is_unchanged = previous->address() == goal.address &&
+                            previous->protocol() == goal.protocol &&
+                            previous->upstreams() == upstreams &&
+                            AllChains(*previous) == chains;
+  if (is_unchanged) {
     return std::nullopt;
   }
-  return plan;
+  return ServicePlan(goal.service, goal.address, goal.protocol,
+                     previous->generation() + 1, previous->hash_seed(), next_id,
+                     std::move(upstreams), chains);
 }
 
 }  // namespace poplarsail::steering
--- a/src/libs/steering/planner.h
+++ b/src/libs/steering/planner.h
@@ -33,14 +33,26 @@
   friend bool operator==(const ServiceGoal&, const ServiceGoal&) = default;
 };
 
+// When the changes of a plan take effect.
+struct PlanTiming {
+  TimePoint now;
+  // New owners take new flows from then on.
+  TimePoint active_from;
+  // Upstreams that are gone get their last packets then.
+  TimePoint leaves_at;
+
+  friend bool operator==(const PlanTiming&, const PlanTiming&) = default;
+};
+
 // Computes the plan that follows `previous` (null for the first one), with as
 // few buckets moved as the weights allow. Returns nothing where the goal is
-// already met. New owners take new flows from `active_from` on; buckets whose
-// every owner is gone change at once. Equal arguments give equal plans.
+// already met. An upstream that is gone leaves the chains in two steps, so that
+// hosts which learn of it at different times agree on new flows: at first it is
+// marked as leaving, kLeavingSettle after it left it is removed; call again
+// until then. Equal arguments give equal plans.
 std::optional<ServicePlan> NextPlan(const ServicePlan* previous,
                                     const ServiceGoal& goal,
-                                    TimePoint now,
-                                    TimePoint active_from);
+                                    const PlanTiming& timing);
 
 }  // namespace poplarsail::steering
 
--- a/src/libs/steering/relay_header.cc
+++ b/src/libs/steering/relay_header.cc
@@ -7,9 +7,28 @@
 namespace {
 
 constexpr uint8_t kVersion = 1;
+constexpr size_t kKeeperDomainOffset = 12;
+constexpr size_t kVisitedOffset = 14;
+constexpr size_t kSearchedOffset = kVisitedOffset + 2 * kMaxRelayHops;
 constexpr uint8_t kEstablishedFlag = 0x01;
 constexpr uint8_t kSenderKeepsCopyFlag = 0x02;
 
+template <typename Tags>
+void StoreTags(const Tags& tags, uint8_t* bytes) {
+  for (const uint16_t tag : tags) {
+    boost::endian::store_big_u16(bytes, tag);
+    bytes += sizeof(tag);
+  }
+}
+
+template <typename Tags>
+void LoadTags(const uint8_t* bytes, Tags* tags) {
+  for (uint16_t& tag : *tags) {
+    tag = boost::endian::load_big_u16(bytes);
+    bytes += sizeof(tag);
+  }
+}
+
 }  // namespace
 
 std::array<uint8_t, kRelayHeaderSize> Encode(const RelayHeader& header) {
@@ -21,6 +40,10 @@
   bytes[3] |= header.sender_keeps_copy ? kSenderKeepsCopyFlag : 0;
   boost::endian::store_big_u32(bytes.data() + 4, header.generation);
   boost::endian::store_big_u32(bytes.data() + 8, header.upstream);
+  boost::endian::store_big_u16(bytes.data() + kKeeperDomainOffset,
+                               header.keeper_domain);
+  StoreTags(header.visited, bytes.data() + kVisitedOffset);
+  StoreTags(header.searched, bytes.data() + kSearchedOffset);
   return bytes;
 }
 
@@ -33,13 +56,18 @@
   if (purpose != RelayPurpose::kResolve && purpose != RelayPurpose::kRecord) {
     return std::nullopt;
   }
-  return RelayHeader{
+  RelayHeader header{
       .purpose = purpose,
       .hops = datagram[2],
       .is_established = (datagram[3] & kEstablishedFlag) != 0,
       .sender_keeps_copy = (datagram[3] & kSenderKeepsCopyFlag) != 0,
       .generation = boost::endian::load_big_u32(datagram.data() + 4),
-      .upstream = boost::endian::load_big_u32(datagram.data() + 8)};
+      .upstream = boost::endian::load_big_u32(datagram.data() + 8),
+      .keeper_domain =
+          boost::endian::load_big_u16(datagram.data() + kKeeperDomainOffset)};
+  LoadTags(datagram.data() + kVisitedOffset, &header.visited);
+  LoadTags(datagram.data() + kSearchedOffset, &header.searched);
+  return header;
 }
 
 }  // namespace poplarsail::steering
--- a/src/libs/steering/router.cc
+++ b/src/libs/steering/router.cc
@@ -73,8 +73,12 @@
 }
 
 Router::Router(std::string self, size_t flow_capacity, TimePoint started_at)
-    : m_self(std::move(self)), m_flows(flow_capacity) {
-  SetMembers(std::make_shared<KeeperMap>(std::vector<Member>{}), started_at);
+    : m_self(std::move(self)),
+      m_self_tag(TagOfName(m_self)),
+      m_flows(flow_capacity) {
+  const std::vector<std::string> no_domains;
+  SetMembers(std::make_shared<KeeperMap>(std::vector<Member>{}, no_domains),
+             started_at);
 }
 
 Router::ServiceKey Router::KeyOf(const ServicePlan& plan) {
@@ -144,11 +148,7 @@
                                            TimePoint now) const {
   std::vector<TimePoint> times(kKeeperSlots, kNever);
   if (previous != nullptr) {
-    const std::string& domain = m_members->DomainOf(group);
-    const GroupIndex old_group = previous->GroupOf(domain);
-    if (previous->DomainOf(old_group) == domain) {
-      times = m_keeper_since[old_group];
-    }
+    times = m_keeper_since[previous->GroupOf(m_members->DomainOf(group))];
   }
   for (uint32_t slot = 0; slot < kKeeperSlots; ++slot) {
     const auto candidates = m_members->Candidates(group, slot);
@@ -172,6 +172,8 @@
                                     const RelayHeader* relay,
                                     TimePoint now) const {
   const ServicePlan& plan = *entry.plan;
+  const RelayHeader no_relay;
+  const RelayHeader& header = relay == nullptr ? no_relay : *relay;
   const uint64_t hash = HashFlow(packet.key, plan.hash_seed());
   const uint32_t bucket = plan.BucketOf(hash);
   return {.plan = plan,
@@ -180,7 +182,9 @@
           .hash = hash,
           .bucket = bucket,
           .slot = KeeperMap::SlotOf(entry.service_hash, bucket),
-          .hops = relay == nullptr ? uint8_t{0} : relay->hops,
+          .hops = header.hops,
+          .visited = header.visited,
+          .searched = header.searched,
           .now = now};
 }
 
@@ -203,7 +207,7 @@
     return Forward(context, entry.plan->Base(context.bucket),
                    DecisionCause::kStableBucket);
   }
-  return DecideInTransition(context, relay);
+  return DecideInTransition(context);
 }
 
 Decision Router::Explain(const PacketSummary& packet, TimePoint now) const {
@@ -230,19 +234,9 @@
   }
 }
 
-Decision Router::DecideInTransition(const Context& context,
-                                    const RelayHeader* relay) {
+Decision Router::DecideInTransition(const Context& context) {
   if (context.packet.is_first) {
-    const auto keepers = Candidates(context, NewestGroup(context));
-    const bool asked = relay != nullptr;
-    const bool decides = keepers.empty() || keepers[0] == m_self_index ||
-                         (asked && IsAmongKeepers(keepers, m_self_index)) ||
-                         context.hops >= kMaxRelayHops;
-    if (decides) {
-      return DecideFirst(context);
-    }
-    return Relay(context, keepers[0], RelayPurpose::kResolve, kNoUpstream,
-                 false, DecisionCause::kAskKeeper);
+    return DecideFirst(context);
   }
   if (const auto record = FindRecord(context)) {
     return ForwardRecorded(context, *record);
@@ -252,61 +246,102 @@
 
 std::optional<FlowRecord> Router::FindRecord(const Context& context) const {
   const auto record = m_flows.Find(context.hash, context.now);
-  if (!record || context.plan.FindUpstream(record->upstream) == nullptr) {
+  if (!record ||
+      context.plan.FindPresent(record->upstream, context.now) == nullptr) {
     return std::nullopt;
   }
   return record;
 }
 
+// A keeper that knows all flows of the bucket decides. While none does, the
+// packet passes all candidates, since one may know it as a repeat.
 Decision Router::DecideFirst(const Context& context) {
+  const GroupIndex group = DecidingGroup(context);
   const auto known = FindRecord(context);
-  const bool is_repeat = known && !known->is_established;
-  UpstreamId upstream =
-      is_repeat ? known->upstream
-                : context.plan.OwnerOfNewFlows(context.bucket, context.now);
+  if (known && !known->is_established) {
+    return RecordAndPassOn(context, GroupOfSelf(context), known->upstream,
+                           false);
+  }
+  const auto candidates = Candidates(context, group);
+  const bool is_keeper = IsAmongKeepers(candidates, m_self_index);
+  const bool may_decide = is_keeper && KnowsAllFlows(context, group);
+  const bool may_pass_on = context.hops < kMaxRelayHops;
+  if (const auto previous = PreviousDecider(context);
+      previous && may_decide && may_pass_on) {
+    return Relay(context, *previous, RelayPurpose::kResolve, kNoUpstream, false,
+                 DecisionCause::kAskKeeper);
+  }
+  if (!may_decide && may_pass_on) {
+    for (const MemberIndex candidate : candidates) {
+      if (candidate == m_self_index || WasVisited(context, candidate)) {
+        continue;
+      }
+      return Relay(context, candidate, RelayPurpose::kResolve, kNoUpstream,
+                   false, DecisionCause::kAskKeeper);
+    }
+  }
+  const UpstreamId upstream =
+      context.plan.OwnerOfNewFlows(context.bucket, context.now);
   if (upstream == kNoUpstream) {
     return Drop(DropReason::kNoServingUpstream);
   }
-  return RecordAndPassOn(context, upstream, false);
+  if (is_keeper || candidates.empty()) {
+    return RecordAndPassOn(context, group, upstream, false);
+  }
+  return RelayRecord(context, candidates[0], group,
+                     {context.hash, upstream, false, 0},
+                     DecisionCause::kFirstPacket);
 }
 
-// Stores the record here and, by passing the packet on, at the other keeper.
+// Stores the record here and, by passing the packet on, at the group's other
+// keeper.
 Decision Router::RecordAndPassOn(const Context& context,
+                                 GroupIndex group,
                                  UpstreamId upstream,
                                  bool is_established) {
-  const int other = OtherKeeper(context);
+  const int other = OtherKeeper(context, group);
   const FlowRecord record{context.hash, upstream, is_established, TagOf(other)};
   const auto lifetime = is_established ? kIdleTimeout : kHalfOpenTimeout;
   const InsertResult result =
       m_flows.Insert(record, context.now + lifetime, context.now);
   if (result == InsertResult::kFull && !is_established) {
-    // Without a record only the base is safe: unrecorded packets go there.
-    const UpstreamId base = context.plan.Base(context.bucket);
-    const PlannedUpstream* planned = context.plan.FindUpstream(base);
-    if (planned == nullptr || planned->weight == 0) {
-      return Drop(DropReason::kTableFull);
-    }
-    return Forward(context, base, DecisionCause::kBase);
+    return ForwardUnrecorded(context);
   }
   const DecisionCause cause =
       is_established ? DecisionCause::kRecord : DecisionCause::kFirstPacket;
-  if (other == kNobody) {
+  if (other == kNobody || context.hops >= kMaxRelayHops) {
     return Forward(context, upstream, cause);
   }
-  Decision decision =
-      Relay(context, static_cast<MemberIndex>(other), RelayPurpose::kRecord,
-            upstream, is_established, cause);
+  Decision decision = RelayRecord(context, static_cast<MemberIndex>(other),
+                                  group, record, cause);
   decision.header.sender_keeps_copy = true;
   return decision;
 }
 
+// A first packet without a place for its record: only the owner of unrecorded
+// flows is safe, where it takes new flows.
+Decision Router::ForwardUnrecorded(const Context& context) const {
+  const UpstreamId owner =
+      context.plan.OwnerOfUnrecorded(context.bucket, context.now);
+  const PlannedUpstream* planned = context.plan.FindUpstream(owner);
+  if (planned == nullptr || planned->weight == 0) {
+    return Drop(DropReason::kTableFull);
+  }
+  return Forward(context, owner, DecisionCause::kBase);
+}
+
 Decision Router::StoreCopy(const Context& context, const RelayHeader& header) {
   if (context.plan.FindUpstream(header.upstream) == nullptr) {
     return Drop(DropReason::kUnknownUpstream);
   }
-  const int holder = header.sender_keeps_copy ? OtherKeeper(context) : kNobody;
+  const GroupIndex group = GroupOfTag(context, header.keeper_domain);
+  if (!header.sender_keeps_copy) {
+    // The sender is no keeper: the other keeper needs the record, too.
+    return RecordAndPassOn(context, group, header.upstream,
+                           header.is_established);
+  }
   const FlowRecord record{context.hash, header.upstream, header.is_established,
-                          TagOf(holder)};
+                          TagOf(OtherKeeper(context, group))};
   const auto lifetime = header.is_established ? kIdleTimeout : kHalfOpenTimeout;
   m_flows.Insert(record, context.now + lifetime, context.now);
   return Forward(context, header.upstream, DecisionCause::kRecordCopy);
@@ -314,22 +349,25 @@
 
 Decision Router::ForwardRecorded(const Context& context,
                                  const FlowRecord& record) {
+  const GroupIndex group = GroupOfSelf(context);
   const auto deadline = m_flows.Deadline(context.hash, context.now);
   const bool is_fresh =
       record.is_established && deadline &&
       *deadline > context.now + kIdleTimeout - kIdleTimeout / 4;
-  const bool has_backup = record.backup_tag == TagOf(OtherKeeper(context));
+  const bool has_backup =
+      record.backup_tag == TagOf(OtherKeeper(context, group));
   if ((is_fresh && has_backup) || context.hops >= kMaxRelayHops) {
     return Forward(context, record.upstream, DecisionCause::kRecord);
   }
-  const auto candidates = Candidates(context, GroupOfSelf(context));
+  const auto candidates = Candidates(context, group);
   if (candidates.empty() || IsAmongKeepers(candidates, m_self_index)) {
     // Renews this record and the other copy by passing the packet through.
-    return RecordAndPassOn(context, record.upstream, true);
+    return RecordAndPassOn(context, group, record.upstream, true);
   }
   // A keeper lacks this record: passes it on with the packet.
-  return Relay(context, candidates[0], RelayPurpose::kRecord, record.upstream,
-               true, DecisionCause::kRecord);
+  return RelayRecord(context, candidates[0], group,
+                     {context.hash, record.upstream, true, 0},
+                     DecisionCause::kRecord);
 }
 
 // No record here: asks the next host that may have one.
@@ -337,27 +375,27 @@
   if (context.hops >= kMaxRelayHops) {
     return ForwardToBase(context);
   }
-  const Path path = BuildPath(context);
-  const auto self = std::find_if(
-      path.begin(), path.end(),
-      [this](const PathStep& step) { return step.host == m_self_index; });
-  const bool starts_here = context.hops == 0 && self != path.begin();
-  auto next = path.begin();
-  if (self != path.end() && !starts_here) {
-    next = self + 1;
-  }
-  const uint32_t known_stages = KnownStages(context);
-  for (; next != path.end(); ++next) {
-    const bool may_know_more = (next->stage_mask & ~known_stages) != 0;
-    if (next->host == m_self_index || !may_know_more) {
+  const uint32_t searched = SearchedStages(context);
+  for (const PathStep& step : BuildPath(context)) {
+    const bool may_know_more = (step.stage_mask & ~searched) != 0;
+    if (step.host == m_self_index || !may_know_more ||
+        WasVisited(context, step.host)) {
       continue;
     }
-    return Relay(context, next->host, RelayPurpose::kResolve, kNoUpstream,
-                 false, DecisionCause::kAskKeeper);
+    Decision decision = Relay(context, step.host, RelayPurpose::kResolve,
+                              kNoUpstream, false, DecisionCause::kAskKeeper);
+    NoteSearched(context, &decision.header);
+    return decision;
   }
   return ForwardToBase(context);
 }
 
+bool Router::WasVisited(const Context& context, MemberIndex host) const {
+  const auto& visited = context.visited;
+  return std::find(visited.begin(), visited.end(), m_members->TagOf(host)) !=
+         visited.end();
+}
+
 GroupIndex Router::GroupOf(const Context& context, UpstreamId upstream) const {
   const PlannedUpstream* planned = context.plan.FindUpstream(upstream);
   if (planned == nullptr) {
@@ -366,14 +404,48 @@
   return context.groups[planned - context.plan.upstreams().data()];
 }
 
-GroupIndex Router::NewestGroup(const Context& context) const {
-  return GroupOf(context, context.plan.Links(context.bucket).back().upstream);
+// The link whose keepers decide on first packets: the newest that is active.
+// Where none is, the bucket's base takes new flows, and the first link's
+// keepers record them for repeats that come after its activation.
+const BucketLink& Router::DecidingLink(const Context& context) const {
+  const auto links = context.plan.Links(context.bucket);
+  size_t index = 0;
+  while (index + 1 < links.size() &&
+         links[index + 1].active_from <= context.now) {
+    ++index;
+  }
+  return links[index];
+}
+
+GroupIndex Router::DecidingGroup(const Context& context) const {
+  return GroupOf(context, DecidingLink(context).upstream);
+}
+
+// A keeper that decided until a short while ago and was not asked yet: the
+// packet may repeat one that it recorded.
+std::optional<MemberIndex> Router::PreviousDecider(
+    const Context& context) const {
+  const auto links = context.plan.Links(context.bucket);
+  const BucketLink& deciding = DecidingLink(context);
+  const bool is_settled =
+      deciding.active_from + kFirstPacketRepeat <= context.now;
+  if (is_settled || &deciding == &links.front()) {
+    return std::nullopt;
+  }
+  const BucketLink& previous = *(&deciding - 1);
+  const auto keepers = Candidates(context, GroupOf(context, previous.upstream));
+  const bool is_other = !keepers.empty() && keepers[0] != m_self_index &&
+                        !WasVisited(context, keepers[0]);
+  return is_other ? std::optional(keepers[0]) : std::nullopt;
 }
 
 Router::Stages Router::StagesOf(const Context& context) const {
   Stages stages;
   const auto links = context.plan.Links(context.bucket);
   for (auto link = links.rbegin(); link != links.rend(); ++link) {
+    if (link->upstream == kNoUpstream) {
+      continue;
+    }
     const GroupIndex group = GroupOf(context, link->upstream);
     if (std::find(stages.begin(), stages.end(), group) == stages.end()) {
       stages.push_back(group);
@@ -402,15 +474,37 @@
   return path;
 }
 
-// The stages of which this host recorded every flow.
-uint32_t Router::KnownStages(const Context& context) const {
-  uint32_t known = 0;
+bool Router::WasSearched(const Context& context, GroupIndex group) const {
+  const auto& searched = context.searched;
+  return std::find(searched.begin(), searched.end(),
+                   m_members->DomainTagOf(group)) != searched.end();
+}
+
+// The stages of which this host, or one before it, knows every flow.
+uint32_t Router::SearchedStages(const Context& context) const {
+  uint32_t searched = 0;
   uint32_t stage_bit = 1;
   for (const GroupIndex group : StagesOf(context)) {
-    known |= KnowsAllFlows(context, group) ? stage_bit : 0;
+    const bool is_done =
+        WasSearched(context, group) || KnowsAllFlows(context, group);
+    searched |= is_done ? stage_bit : 0;
     stage_bit <<= 1;
   }
-  return known;
+  return searched;
+}
+
+// Tells the next host which domains need not be searched again.
+void Router::NoteSearched(const Context& context, RelayHeader* header) const {
+  for (const GroupIndex group : StagesOf(context)) {
+    if (WasSearched(context, group) || !KnowsAllFlows(context, group)) {
+      continue;
+    }
+    const auto free_place =
+        std::find(header->searched.begin(), header->searched.end(), 0);
+    if (free_place != header->searched.end()) {
+      *free_place = m_members->DomainTagOf(group);
+    }
+  }
 }
 
 // Whether this host recorded each flow of the bucket that the group's keepers
@@ -427,25 +521,37 @@
          context.plan.Links(context.bucket).front().announced_at;
 }
 
-// The newest of the bucket's groups in which this host is a candidate.
+// The newest of the bucket's groups in which this host is a keeper, else in
+// which it is a candidate.
 GroupIndex Router::GroupOfSelf(const Context& context) const {
-  for (const GroupIndex group : StagesOf(context)) {
+  const Stages stages = StagesOf(context);
+  for (const GroupIndex group : stages) {
+    if (IsAmongKeepers(Candidates(context, group), m_self_index)) {
+      return group;
+    }
+  }
+  for (const GroupIndex group : stages) {
     const auto candidates = Candidates(context, group);
     if (std::find(candidates.begin(), candidates.end(), m_self_index) !=
         candidates.end()) {
       return group;
     }
   }
-  return NewestGroup(context);
+  return 0;
 }
 
-// The best keeper of that group other than this host.
-int Router::OtherKeeper(const Context& context) const {
-  if (context.plan.Links(context.bucket).empty()) {
-    return kNobody;
+GroupIndex Router::GroupOfTag(const Context& context, DomainTag tag) const {
+  for (const GroupIndex group : StagesOf(context)) {
+    if (m_members->DomainTagOf(group) == tag) {
+      return group;
+    }
   }
-  for (const MemberIndex candidate :
-       Candidates(context, GroupOfSelf(context))) {
+  return GroupOfSelf(context);
+}
+
+// The best keeper of a group other than this host.
+int Router::OtherKeeper(const Context& context, GroupIndex group) const {
+  for (const MemberIndex candidate : Candidates(context, group)) {
     if (candidate != m_self_index) {
       return candidate;
     }
@@ -457,14 +563,15 @@
   if (member == kNobody) {
     return 0;
   }
-  const std::string& name = m_members->members()[member].name;
-  return static_cast<uint8_t>(XXH3_64bits(name.data(), name.size()) | 1);
+  return static_cast<uint8_t>(
+      m_members->TagOf(static_cast<MemberIndex>(member)));
 }
 
 Decision Router::Forward(const Context& context,
                          UpstreamId upstream,
                          DecisionCause cause) const {
-  const PlannedUpstream* planned = context.plan.FindUpstream(upstream);
+  const PlannedUpstream* planned =
+      context.plan.FindPresent(upstream, context.now);
   if (planned == nullptr) {
     return Drop(DropReason::kNoServingUpstream);
   }
@@ -476,7 +583,8 @@
 }
 
 Decision Router::ForwardToBase(const Context& context) const {
-  return Forward(context, context.plan.Base(context.bucket),
+  return Forward(context,
+                 context.plan.OwnerOfUnrecorded(context.bucket, context.now),
                  DecisionCause::kBase);
 }
 
@@ -494,7 +602,23 @@
                      .hops = static_cast<uint8_t>(context.hops + 1),
                      .is_established = is_established,
                      .generation = context.plan.generation(),
-                     .upstream = upstream};
+                     .upstream = upstream,
+                     .visited = context.visited,
+                     .searched = context.searched};
+  if (context.hops < kMaxRelayHops) {
+    decision.header.visited[context.hops] = m_self_tag;
+  }
+  return decision;
+}
+
+Decision Router::RelayRecord(const Context& context,
+                             MemberIndex host,
+                             GroupIndex group,
+                             const FlowRecord& record,
+                             DecisionCause cause) const {
+  Decision decision = Relay(context, host, RelayPurpose::kRecord,
+                            record.upstream, record.is_established, cause);
+  decision.header.keeper_domain = m_members->DomainTagOf(group);
   return decision;
 }
 
--- a/src/libs/steering/router.h
+++ b/src/libs/steering/router.h
@@ -141,6 +141,8 @@
     uint32_t bucket = 0;
     uint32_t slot = 0;
     uint8_t hops = 0;
+    std::array<HostTag, kMaxRelayHops> visited{};
+    std::array<DomainTag, kMaxSearchedDomains> searched{};
     TimePoint now;
   };
   // Groups of the bucket's links without repetition, newest first.
@@ -162,16 +164,19 @@
                       const PacketSummary& packet,
                       const RelayHeader* relay,
                       TimePoint now) const;
-  Decision DecideInTransition(const Context& context, const RelayHeader* relay);
+  Decision DecideInTransition(const Context& context);
   Decision DecideFirst(const Context& context);
   Decision RecordAndPassOn(const Context& context,
+                           GroupIndex group,
                            UpstreamId upstream,
                            bool is_established);
+  Decision ForwardUnrecorded(const Context& context) const;
   Decision StoreCopy(const Context& context, const RelayHeader& header);
   Decision ForwardRecorded(const Context& context, const FlowRecord& record);
   Decision AskOnward(const Context& context) const;
   std::optional<FlowRecord> FindRecord(const Context& context) const;
 
+  bool WasVisited(const Context& context, MemberIndex host) const;
   GroupIndex GroupOf(const Context& context, UpstreamId upstream) const;
   Stages StagesOf(const Context& context) const;
   Path BuildPath(const Context& context) const;
@@ -179,11 +184,16 @@
                                           GroupIndex group) const {
     return m_members->Candidates(group, context.slot);
   }
-  GroupIndex NewestGroup(const Context& context) const;
+  const BucketLink& DecidingLink(const Context& context) const;
+  GroupIndex DecidingGroup(const Context& context) const;
+  std::optional<MemberIndex> PreviousDecider(const Context& context) const;
+  bool WasSearched(const Context& context, GroupIndex group) const;
+  void NoteSearched(const Context& context, RelayHeader* header) const;
   GroupIndex GroupOfSelf(const Context& context) const;
   bool KnowsAllFlows(const Context& context, GroupIndex group) const;
-  uint32_t KnownStages(const Context& context) const;
-  int OtherKeeper(const Context& context) const;
+  uint32_t SearchedStages(const Context& context) const;
+  GroupIndex GroupOfTag(const Context& context, DomainTag tag) const;
+  int OtherKeeper(const Context& context, GroupIndex group) const;
   uint8_t TagOf(int member) const;
 
   Decision Forward(const Context& context,
@@ -196,9 +206,15 @@
                  UpstreamId upstream,
                  bool is_established,
                  DecisionCause cause) const;
+  Decision RelayRecord(const Context& context,
+                       MemberIndex host,
+                       GroupIndex group,
+                       const FlowRecord& record,
+                       DecisionCause cause) const;
   void NoteGeneration(const ServicePlan& plan, const RelayHeader* relay);
 
   std::string m_self;
+  HostTag m_self_tag;
   int m_self_index = -1;
   std::unordered_map<ServiceKey, Entry, ServiceKeyHash> m_services;
   std::shared_ptr<const KeeperMap> m_members;
--- a/src/libs/steering/service_plan.cc
+++ b/src/libs/steering/service_plan.cc
@@ -18,11 +18,15 @@
 constexpr int64_t kTextLimit = 256;
 
 nlohmann::json ToJson(const PlannedUpstream& upstream) {
-  return {{"id", upstream.id},
-          {"name", upstream.name},
-          {"address", model::ToString(upstream.address)},
-          {"failureDomain", upstream.failure_domain},
-          {"weight", upstream.weight}};
+  nlohmann::json json = {{"id", upstream.id},
+                         {"name", upstream.name},
+                         {"address", model::ToString(upstream.address)},
+                         {"failureDomain", upstream.failure_domain},
+                         {"weight", upstream.weight}};
+  if (upstream.is_leaving()) {
+    json["leavesAt"] = model::ToUnixMillis(upstream.leaves_at);
+  }
+  return json;
 }
 
 PlannedUpstream UpstreamFromJson(const nlohmann::json& json,
@@ -32,6 +36,10 @@
   upstream.name = json.at("name").get<std::string>();
   upstream.failure_domain = json.at("failureDomain").get<std::string>();
   upstream.weight = json.at("weight").get<uint32_t>();
+  if (json.contains("leavesAt")) {
+    upstream.leaves_at =
+        model::FromUnixMillis(json.at("leavesAt").get<int64_t>());
+  }
   const auto address =
       model::ParseEndpoint(json.at("address").get<std::string>());
   if (!address || upstream.id == kNoUpstream ||
@@ -128,6 +136,22 @@
   return {m_base[bucket], {links.begin(), links.end()}};
 }
 
+UpstreamId ServicePlan::OwnerOfUnrecorded(uint32_t bucket,
+                                          TimePoint now) const {
+  if (FindPresent(m_base[bucket], now) != nullptr) {
+    return m_base[bucket];
+  }
+  for (const BucketLink& link : Links(bucket)) {
+    if (link.active_from > now) {
+      break;
+    }
+    if (FindPresent(link.upstream, now) != nullptr) {
+      return link.upstream;
+    }
+  }
+  return kNoUpstream;
+}
+
 UpstreamId ServicePlan::OwnerOfNewFlows(uint32_t bucket, TimePoint now) const {
   UpstreamId owner = m_base[bucket];
   for (const BucketLink& link : Links(bucket)) {
@@ -136,7 +160,16 @@
     }
     owner = link.upstream;
   }
-  return owner;
+  const PlannedUpstream* upstream = FindUpstream(owner);
+  const bool takes_flows = upstream != nullptr && !upstream->is_leaving();
+  return takes_flows ? owner : kNoUpstream;
+}
+
+const PlannedUpstream* ServicePlan::FindPresent(UpstreamId id,
+                                                TimePoint now) const {
+  const PlannedUpstream* upstream = FindUpstream(id);
+  const bool is_present = upstream != nullptr && now < upstream->leaves_at;
+  return is_present ? upstream : nullptr;
 }
 
 const PlannedUpstream* ServicePlan::FindUpstream(UpstreamId id) const {
--- a/src/libs/steering/service_plan.h
+++ b/src/libs/steering/service_plan.h
@@ -23,6 +23,11 @@
   std::string failure_domain;
   // Buckets are shared out in proportion; 0 while the upstream drains.
   uint32_t weight = 0;
+  // From then on no packet goes there and its flows are given up; until then
+  // it gets no new flows. The far future for an upstream that stays.
+  TimePoint leaves_at = TimePoint::max();
+
+  bool is_leaving() const { return leaves_at != TimePoint::max(); }
 
   friend bool operator==(const PlannedUpstream&,
                          const PlannedUpstream&) = default;
@@ -73,17 +78,22 @@
   uint32_t BucketOf(uint64_t flow_hash) const {
     return static_cast<uint32_t>(flow_hash >> 16) & (bucket_count() - 1);
   }
-  // The owner of flows that nobody recorded.
+  // The oldest owner, whether or not it has left.
   UpstreamId Base(uint32_t bucket) const { return m_base[bucket]; }
+  // The owner at time `now` of flows that nobody recorded: the oldest one that
+  // has not left.
+  UpstreamId OwnerOfUnrecorded(uint32_t bucket, TimePoint now) const;
   // Later owners, oldest first; empty where the bucket is not in transition.
   std::span<const BucketLink> Links(uint32_t bucket) const {
     const size_t first = m_link_offsets[bucket];
     return {m_links.data() + first, m_link_offsets[bucket + 1] - first};
   }
   BucketChain Chain(uint32_t bucket) const;
-  // The owner of new flows at time `now`.
+  // The owner of new flows at time `now`; kNoUpstream while none may take them.
   UpstreamId OwnerOfNewFlows(uint32_t bucket, TimePoint now) const;
 
+  // Returns null where the plan has no such upstream or it has left.
+  const PlannedUpstream* FindPresent(UpstreamId id, TimePoint now) const;
   // Returns null where the plan has no such upstream.
   const PlannedUpstream* FindUpstream(UpstreamId id) const;
 
--- a/src/libs/steering/steering_constants.h
+++ b/src/libs/steering/steering_constants.h
@@ -28,11 +28,17 @@
 // Within this time after a host became a member, others may not know it yet.
 inline constexpr std::chrono::milliseconds kMembershipSettle{10'000};
 
+// An upstream that left stays in the plan this long, so that hosts with the
+// plan before agree with hosts with the plan after.
+inline constexpr std::chrono::milliseconds kLeavingSettle{10'000};
+
 // A packet that entry hosts passed on this often goes to the bucket's base.
-inline constexpr uint8_t kMaxRelayHops = 6;
+inline constexpr uint8_t kMaxRelayHops = 8;
+// Failure domains that a relayed packet can name as searched.
+inline constexpr size_t kMaxSearchedDomains = 4;
 
-// A repeated first packet within this time belongs to the recorded flow.
-inline constexpr std::chrono::milliseconds kFirstPacketRepeat{64'000};
+// Callers repeat first packets up to this time after the one before.
+inline constexpr std::chrono::milliseconds kFirstPacketRepeat{4'000};
 // A record of a flow that showed only its first packet is kept this long.
 inline constexpr std::chrono::milliseconds kHalfOpenTimeout{64'000};
 // A record of a flow without packets is kept this long.
--- a/src/libs/transport/udp_packet_port.cc
+++ b/src/libs/transport/udp_packet_port.cc
@@ -19,7 +19,7 @@
 // The longest datagram that is taken; longer ones are cut by the system and
 // then fail the check of their total length.
 constexpr size_t kMaxDatagram = 9'216;
-constexpr size_t kMaxHeader = 16;
+constexpr size_t kMaxHeader = 64;
 constexpr int kSocketBufferBytes = 8 * 1024 * 1024;
 
 using UdpEndpoint = boost::asio::ip::udp::endpoint;
--- a/src/tools/measure/main.cc
+++ b/src/tools/measure/main.cc
@@ -20,6 +20,7 @@
       "way", "Only this way", cxxopts::value<std::string>()->default_value(""))(
       "case", "Only this case",
       cxxopts::value<std::string>()->default_value(""))(
+      "trace", "Print each broken flow")(
       "seed", "Seed", cxxopts::value<uint64_t>()->default_value("1"))(
       "scale", "Factor on the load",
       cxxopts::value<double>()->default_value("1"));
@@ -30,7 +31,8 @@
   }
   const bool is_within_bounds = poplarsail::measure::ReportPackets(
       {arguments["way"].as<std::string>(), arguments["case"].as<std::string>(),
-       arguments["seed"].as<uint64_t>(), arguments["scale"].as<double>()});
+       arguments["seed"].as<uint64_t>(), arguments["scale"].as<double>(),
+       arguments.count("trace") > 0});
   return is_within_bounds ? 0 : kExitBoundBroken;
 }
 
--- a/src/tools/measure/packet_fleet.cc
+++ b/src/tools/measure/packet_fleet.cc
@@ -16,6 +16,8 @@
 
 constexpr int64_t kEpochMs = 1'700'000'000'000;
 constexpr int64_t kAnnounceMs = 2'500;
+constexpr int64_t kLeaveMs = 1'000;
+constexpr int64_t kReplanMs = 1'000;
 // Time from a change to a new plan's arrival at a host.
 constexpr int64_t kUpdateLeastMs = 20;
 constexpr int64_t kUpdateMostMs = 400;
@@ -25,7 +27,9 @@
 constexpr int64_t kListLeastMs = 500;
 constexpr int64_t kListMostMs = 3'000;
 constexpr int64_t kFabricLagMs = 1'000;
-constexpr int64_t kLingerMs = 4'000;
+// Between a host's announcement that it keeps records, or stops, and that time.
+constexpr int64_t kKeeperAnnounceMs = 4'000;
+constexpr int64_t kLingerMs = 6'000;
 constexpr int64_t kDigestIntervalMs = 100;
 constexpr int64_t kFirstRetryMs = 1'000;
 constexpr int64_t kLossRetryMs = 300;
@@ -57,6 +61,12 @@
   int64_t ends_at_ms = INT64_MAX;
   // The newest member list arrives then; none overtakes another.
   int64_t members_until_ms = INT64_MIN;
+  // What the host says of its part as a keeper.
+  TimePoint keeper_from = TimePoint::min();
+  TimePoint keeper_until = TimePoint::max();
+  // The member list as the host knows it.
+  std::vector<steering::Member> members;
+  TimePoint next_keeper_change = TimePoint::max();
 };
 
 struct PacketFleet::Upstream {
@@ -75,6 +85,7 @@
   bool is_established = false;
   bool is_over = false;
   bool is_quiet = false;
+  int64_t opened_at_ms = 0;
   int64_t ends_at_ms = 0;
   int64_t undelivered_since_ms = -1;
 };
@@ -82,7 +93,7 @@
 // A control message on its way to one host.
 struct PacketFleet::Delivery {
   steering::ServicePlanPtr plan;
-  std::shared_ptr<const steering::KeeperMap> members;
+  std::shared_ptr<const std::vector<steering::Member>> members;
   std::shared_ptr<const Digest> digest;
 };
 
@@ -125,8 +136,8 @@
   m_now_ms = -3'600'000;
   MembersChanged();
   for (auto& [at_ms, delivery] : m_deliveries) {
-    m_hosts[delivery.first]->steering->SetMembers(delivery.second.members,
-                                                  Now());
+    m_hosts[delivery.first]->members = *delivery.second.members;
+    RefreshKeepers(m_hosts[delivery.first].get());
   }
   m_deliveries.clear();
   m_now_ms = 0;
@@ -141,6 +152,9 @@
            m_events[next_event].at_ms <= m_now_ms) {
       ApplyEvent(m_events[next_event++]);
     }
+    if (m_now_ms % kReplanMs == 0) {
+      Replan();
+    }
     RunDeliveries();
     if (m_now_ms % kDigestIntervalMs == 0) {
       SpreadDigests();
@@ -196,7 +210,7 @@
       return;
     case EventKind::kHostLeaves: {
       Host& host = *m_hosts[event.subject];
-      host.is_listed = false;
+      host.keeper_until = Now() + std::chrono::milliseconds(kKeeperAnnounceMs);
       host.fabric_until_ms = m_now_ms + kFabricLagMs;
       host.ends_at_ms = m_now_ms + kLingerMs;
       MembersChanged();
@@ -303,7 +317,10 @@
     if (host->domain != domain) {
       continue;
     }
-    host->is_listed = is_in;
+    const TimePoint announced =
+        Now() + std::chrono::milliseconds(kKeeperAnnounceMs);
+    host->keeper_from = is_in ? announced : host->keeper_from;
+    host->keeper_until = is_in ? TimePoint::max() : announced;
     host->fabric_until_ms = is_in ? INT64_MAX : m_now_ms + kFabricLagMs;
     host->fabric_from_ms = is_in ? m_now_ms + kFabricLagMs : 0;
   }
@@ -320,10 +337,12 @@
   // A host takes the plan and the members, from peers if need be, before it
   // takes packets.
   host->steering->SetPlan(m_plan);
-  if (m_members != nullptr) {
-    host->steering->SetMembers(m_members, Now());
-  } else {
+  if (m_now_ms == 0) {
     host->fabric_from_ms = 0;
+  } else {
+    host->keeper_from = Now() + std::chrono::milliseconds(kKeeperAnnounceMs);
+    host->members = m_members;
+    RefreshKeepers(host.get());
   }
   m_hosts.push_back(std::move(host));
 }
@@ -333,22 +352,45 @@
   if (m_platform_away) {
     return;
   }
-  std::vector<steering::Member> members;
+  m_members.clear();
   for (const auto& host : m_hosts) {
     if (host->is_listed) {
-      members.push_back({host->name, fmt::format("d{}", host->domain), {}});
+      m_members.push_back({host->name,
+                           fmt::format("d{}", host->domain),
+                           {},
+                           host->keeper_from,
+                           host->keeper_until});
     }
   }
-  m_members = std::make_shared<const steering::KeeperMap>(std::move(members));
+  const auto members =
+      std::make_shared<const std::vector<steering::Member>>(m_members);
   std::uniform_int_distribution<int64_t> lag(kListLeastMs, kListMostMs);
   for (size_t i = 0; i < m_hosts.size(); ++i) {
     Host& host = *m_hosts[i];
     host.members_until_ms =
         std::max(host.members_until_ms, m_now_ms + lag(m_random));
-    Deliver(static_cast<int>(i), host.members_until_ms, {.members = m_members});
+    Deliver(static_cast<int>(i), host.members_until_ms, {.members = members});
   }
 }
 
+void PacketFleet::RefreshKeepers(Host* host) {
+  const auto keepers = steering::KeepersAt(host->members, Now());
+  std::vector<std::string> names;
+  for (const steering::Member& keeper : keepers) {
+    names.push_back(keeper.name);
+  }
+  auto& map = m_keeper_maps[names];
+  if (map == nullptr) {
+    std::vector<std::string> domains;
+    for (int i = 0; i < m_options.domains; ++i) {
+      domains.push_back(fmt::format("d{}", i));
+    }
+    map = std::make_shared<const steering::KeeperMap>(keepers, domains);
+  }
+  host->next_keeper_change = steering::NextKeeperChange(host->members, Now());
+  host->steering->SetMembers(map, Now());
+}
+
 void PacketFleet::Replan() {
   m_plan_pending = m_platform_away;
   if (m_platform_away) {
@@ -369,8 +411,9 @@
          fmt::format("d{}", upstream.domain), upstream.weight});
   }
   const auto next =
-      steering::NextPlan(m_plan.get(), goal, Now(),
-                         Now() + std::chrono::milliseconds(kAnnounceMs));
+      steering::NextPlan(m_plan.get(), goal,
+                         {Now(), Now() + std::chrono::milliseconds(kAnnounceMs),
+                          Now() + std::chrono::milliseconds(kLeaveMs)});
   if (!next) {
     return;
   }
@@ -406,6 +449,9 @@
     if (host->ends_at_ms <= m_now_ms) {
       host->is_up = false;
     }
+    if (host->is_up && host->next_keeper_change <= Now()) {
+      RefreshKeepers(host.get());
+    }
   }
   while (!m_deliveries.empty() && m_deliveries.begin()->first <= m_now_ms) {
     const auto [host_index, delivery] = m_deliveries.begin()->second;
@@ -422,7 +468,8 @@
       host.steering->SetPlan(delivery.plan);
     }
     if (delivery.members != nullptr) {
-      host.steering->SetMembers(delivery.members, Now());
+      host.members = *delivery.members;
+      RefreshKeepers(&host);
     }
     if (delivery.digest != nullptr) {
       host.steering->ReceiveDigest(*delivery.digest, Now());
@@ -461,6 +508,7 @@
   flow.key.destination = steering::ToAddressBytes(m_plan->address().address);
   flow.key.destination_port = m_plan->address().port;
   flow.key.protocol = steering::kProtocolTcp;
+  flow.opened_at_ms = m_now_ms;
   flow.ends_at_ms = is_long ? INT64_MAX : m_now_ms + Exponential(kShortLifeMs);
   std::bernoulli_distribution is_quiet(0.5);
   flow.is_quiet = is_long && is_quiet(m_random);
@@ -514,6 +562,7 @@
                                       const steering::PacketSummary& packet) {
   int host_index = PickHost(flow);
   std::optional<RelayHeader> header;
+  m_last_path.clear();
   for (int step = 0; step < kMaxCarrySteps; ++step) {
     Host& host = *m_hosts[host_index];
     if (!host.is_up) {
@@ -521,6 +570,7 @@
     }
     const Decision decision =
         host.steering->Decide(packet, header ? &*header : nullptr, Now());
+    m_last_path.emplace_back(host_index, decision.cause);
     const auto is_cut = [&](int domain) {
       return domain != host.domain &&
              (m_domain_cut[domain] || m_domain_cut[host.domain]);
@@ -552,7 +602,7 @@
   flow.undelivered_since_ms = -1;
   if (!is_first) {
     if (number != flow.owner) {
-      Break(index);
+      Break(index, number);
       return;
     }
     Schedule(index, m_now_ms + Exponential(flow.is_quiet ? kQuietGapMs
@@ -588,7 +638,7 @@
     flow.undelivered_since_ms = m_now_ms;
   }
   if (m_now_ms - flow.undelivered_since_ms > kGiveUpMs) {
-    Break(index);
+    Break(index, kNoOwner);
     return;
   }
   Schedule(index,
@@ -604,8 +654,25 @@
   }
 }
 
-void PacketFleet::Break(uint32_t index) {
-  ++m_result.broken_flows;
+// A flow that ended up in a domain that is out is given up, not broken.
+void PacketFleet::Break(uint32_t index, int reached) {
+  const Flow& flow = m_flows[index];
+  const bool is_given_up =
+      flow.owner != kNoOwner && !m_upstreams[flow.owner].is_present;
+  ++(is_given_up ? m_result.given_up_flows : m_result.broken_flows);
+  if (!is_given_up) {
+    const auto name = [this](int number) {
+      return number == kNoOwner ? "none" : m_upstreams[number].name;
+    };
+    std::string path;
+    for (const auto& [host, cause] : m_last_path) {
+      path += fmt::format("{}:{} ", m_hosts[host]->name, ToString(cause));
+    }
+    const uint64_t hash = steering::HashFlow(flow.key, m_plan->hash_seed());
+    m_result.broken.push_back({m_now_ms, flow.opened_at_ms, index,
+                               m_plan->BucketOf(hash), name(flow.owner),
+                               name(reached), path});
+  }
   EndFlow(index);
 }
 
--- a/src/tools/measure/packet_fleet.h
+++ b/src/tools/measure/packet_fleet.h
@@ -68,6 +68,18 @@
   friend bool operator==(const FleetOptions&, const FleetOptions&) = default;
 };
 
+// One broken flow, for finding its cause.
+struct BrokenFlow {
+  int64_t at_ms = 0;
+  int64_t opened_at_ms = 0;
+  uint32_t flow = 0;
+  uint32_t bucket = 0;
+  std::string owner;
+  std::string reached;
+  // The hosts that the last packet passed, with the cause of each decision.
+  std::string path;
+};
+
 struct FleetResult {
   uint64_t flows = 0;
   uint64_t broken_flows = 0;
@@ -83,6 +95,7 @@
   double imbalance_p99 = 0;
   // From a drain, removal or take-out to the last new flow there.
   int64_t last_new_flow_ms = 0;
+  std::vector<BrokenFlow> broken;
 };
 
 // Drives one way of steering on all entry hosts with virtual time and a fixed
@@ -111,6 +124,8 @@
   void GiveUpFlows(const std::function<bool(int)>& is_affected);
   void AddHost(int number);
   void MembersChanged();
+  // Gives the host the keepers of its own member list at this time.
+  void RefreshKeepers(Host* host);
   void Replan();
   void Deliver(int host, int64_t at_ms, Delivery delivery);
   int64_t DeliveryTime(int host);
@@ -126,7 +141,7 @@
   void Arrive(uint32_t flow, int upstream, bool is_first);
   void LosePacket(uint32_t flow);
   void EndFlow(uint32_t flow);
-  void Break(uint32_t flow);
+  void Break(uint32_t flow, int reached);
   void SampleSecond();
   int64_t Exponential(double mean_ms);
 
@@ -141,7 +156,10 @@
   std::vector<std::vector<uint32_t>> m_schedule;
   std::multimap<int64_t, std::pair<int, Delivery>> m_deliveries;
   steering::ServicePlanPtr m_plan;
-  std::shared_ptr<const steering::KeeperMap> m_members;
+  std::vector<steering::Member> m_members;
+  // Maps by the names of their members: hosts share them.
+  std::map<std::vector<std::string>, std::shared_ptr<const steering::KeeperMap>>
+      m_keeper_maps;
   std::vector<bool> m_domain_out;
   std::vector<bool> m_domain_cut;
   bool m_half_late = false;
@@ -156,6 +174,7 @@
   std::vector<double> m_control_bytes;
   std::vector<double> m_imbalances;
   uint64_t m_open_flows = 0;
+  std::vector<std::pair<int, steering::DecisionCause>> m_last_path;
   FleetResult m_result;
 };
 
--- a/src/tools/measure/packet_report.cc
+++ b/src/tools/measure/packet_report.cc
@@ -84,6 +84,16 @@
       result.last_new_flow_ms);
 }
 
+void PrintBrokenFlows(const FleetResult& result) {
+  for (const BrokenFlow& item : result.broken) {
+    fmt::print(
+        "  flow {} bucket {} opened at {} ms, broken at {} ms: owner {}, "
+        "reached {} by {}\n",
+        item.flow, item.bucket, item.opened_at_ms, item.at_ms, item.owner,
+        item.reached, item.path);
+  }
+}
+
 }  // namespace
 
 bool ReportPackets(const PacketReportOptions& options) {
@@ -103,6 +113,9 @@
   uint64_t broken_by_failures = 0;
   for (const Run& run : runs) {
     PrintRow(run);
+    if (options.traces) {
+      PrintBrokenFlows(run.result);
+    }
     if (run.way != kChosenWay) {
       continue;
     }
--- a/src/tools/measure/packet_report.h
+++ b/src/tools/measure/packet_report.h
@@ -12,6 +12,8 @@
   std::string case_name;
   uint64_t seed = 1;
   double scale = 1;
+  // Prints each broken flow.
+  bool traces = false;
 };
 
 // Runs each way through each case on all processors, prints the table and one
--- a/tests/auto/steering/tst_packet_parser.cc
+++ b/tests/auto/steering/tst_packet_parser.cc
@@ -79,7 +79,8 @@
 }
 
 TEST_CASE("a relay header survives its wire form") {
-  const RelayHeader header{RelayPurpose::kRecord, 3, true, true, 77, 123456};
+  const RelayHeader header{
+      RelayPurpose::kRecord, 3, true, true, 77, 123456, 4, {7, 8, 9}, {5}};
   CHECK(DecodeRelayHeader(Encode(header)) == header);
   auto bytes = Encode(header);
   bytes[0] = 2;
@@ -87,7 +88,7 @@
   bytes = Encode(header);
   bytes[1] = 9;
   CHECK_FALSE(DecodeRelayHeader(bytes));
-  CHECK_FALSE(DecodeRelayHeader(std::span(bytes).first(11)));
+  CHECK_FALSE(DecodeRelayHeader(std::span(bytes).first(kRelayHeaderSize - 1)));
 }
 
 }  // namespace
