--- a/src/libs/runtime/control_duty.cc
+++ b/src/libs/runtime/control_duty.cc
@@ -212,8 +212,9 @@
   }
   m_published_keepers = keepers;
   m_published_domains = domains;
-  m_pending_packets.push_back(SetMembersCommand{
-      std::make_shared<const steering::KeeperMap>(std::move(keepers), domains)});
+  m_pending_packets.push_back(
+      SetMembersCommand{std::make_shared<const steering::KeeperMap>(
+          std::move(keepers), domains)});
 }
 
 void ControlDuty::PublishRequestUpstreams() {
--- a/src/libs/steering/flow_table.cc
+++ b/src/libs/steering/flow_table.cc
@@ -2,6 +2,8 @@
 
 #include <bit>
 
+#include "steering/steering_constants.h"
+
 namespace poplarsail::steering {
 
 namespace {
@@ -18,6 +20,18 @@
 
 }  // namespace
 
+std::chrono::milliseconds LifetimeOf(FlowPhase phase) {
+  switch (phase) {
+    case FlowPhase::kOpening:
+      return kHalfOpenTimeout;
+    case FlowPhase::kOpen:
+      return kIdleTimeout;
+    case FlowPhase::kClosing:
+      return kClosingTimeout;
+  }
+  return kIdleTimeout;
+}
+
 FlowTable::FlowTable(size_t capacity) : m_capacity(capacity) {
   const size_t places = capacity * 100 / kFillPercent + kWays;
   m_sets.resize(std::bit_ceil(places / kWays));
@@ -33,8 +47,7 @@
 }
 
 FlowRecord FlowTable::ToRecord(const Entry& entry) {
-  return {entry.hash, entry.upstream, entry.is_established != 0,
-          entry.backup_tag};
+  return {entry.hash, entry.upstream, entry.phase, entry.backup_tag};
 }
 
 const FlowTable::Entry* FlowTable::FindEntry(uint64_t hash) const {
@@ -95,8 +108,7 @@
                                TimePoint deadline,
                                TimePoint now) {
   const Entry value{record.hash, record.upstream, ToTicks(deadline),
-                    record.backup_tag,
-                    static_cast<uint8_t>(record.is_established ? 1 : 0)};
+                    record.backup_tag, record.phase};
   if (Entry* existing = FindEntry(record.hash)) {
     *existing = value;
     return InsertResult::kReplaced;
--- a/src/libs/steering/flow_table.h
+++ b/src/libs/steering/flow_table.h
@@ -19,12 +19,23 @@
 using UpstreamId = uint32_t;
 inline constexpr UpstreamId kNoUpstream = 0;
 
+// How far a flow has come, from what its caller sent.
+enum class FlowPhase : uint8_t {
+  // Only its first packet was seen.
+  kOpening,
+  kOpen,
+  // Its caller ended it (TCP with FIN or RST).
+  kClosing,
+};
+
+// How long a record is kept after a packet of a flow in this phase.
+std::chrono::milliseconds LifetimeOf(FlowPhase phase);
+
 // What is kept of one flow.
 struct FlowRecord {
   uint64_t hash = 0;
   UpstreamId upstream = kNoUpstream;
-  // The flow showed more than its first packet.
-  bool is_established = false;
+  FlowPhase phase = FlowPhase::kOpening;
   // Names the entry host that holds the second copy (its low bits).
   uint8_t backup_tag = 0;
 
@@ -84,7 +95,7 @@
     // Ticks of 4 seconds since the epoch, modulo 2^16.
     uint16_t deadline_ticks = 0;
     uint8_t backup_tag = 0;
-    uint8_t is_established = 0;
+    FlowPhase phase = FlowPhase::kOpening;
   };
   static_assert(sizeof(Entry) == 16);
   static constexpr size_t kWays = 4;
--- a/src/libs/steering/keeper_map.cc
+++ b/src/libs/steering/keeper_map.cc
@@ -65,8 +65,7 @@
       m_width(std::min(kKeeperCandidates, m_members.size())) {
   std::sort(m_members.begin(), m_members.end(),
             [](const Member& a, const Member& b) { return a.name < b.name; });
-  std::set<std::string> domains(failure_domains.begin(),
-                                failure_domains.end());
+  std::set<std::string> domains(failure_domains.begin(), failure_domains.end());
   domains.insert("");
   for (const Member& member : m_members) {
     m_member_hashes.push_back(
--- a/src/libs/steering/packet_parser.cc
+++ b/src/libs/steering/packet_parser.cc
@@ -13,6 +13,7 @@
 constexpr size_t kTcpMinHeader = 20;
 constexpr size_t kUdpHeader = 8;
 constexpr size_t kTcpFlagsOffset = 13;
+constexpr uint8_t kTcpFin = 0x01;
 constexpr uint8_t kTcpSyn = 0x02;
 constexpr uint8_t kTcpRst = 0x04;
 constexpr uint8_t kTcpAck = 0x10;
@@ -39,6 +40,7 @@
   PacketSummary summary{.key = key, .marks_first = is_tcp};
   if (is_tcp) {
     const uint8_t flags = segment[kTcpFlagsOffset];
+    summary.is_last = (flags & (kTcpFin | kTcpRst)) != 0;
     summary.is_first = (flags & (kTcpSyn | kTcpAck | kTcpRst)) == kTcpSyn;
   }
   return {PacketError::kNone, summary};
--- a/src/libs/steering/packet_parser.h
+++ b/src/libs/steering/packet_parser.h
@@ -29,6 +29,8 @@
   FlowKey key;
   // The packet opens a flow (TCP with SYN and without ACK).
   bool is_first = false;
+  // The packet ends a flow (TCP with FIN or RST).
+  bool is_last = false;
   // The protocol marks first packets, so an unmarked packet is not one.
   bool marks_first = false;
 
--- a/src/libs/steering/relay_header.cc
+++ b/src/libs/steering/relay_header.cc
@@ -10,8 +10,8 @@
 constexpr size_t kKeeperDomainOffset = 12;
 constexpr size_t kVisitedOffset = 14;
 constexpr size_t kSearchedOffset = kVisitedOffset + 2 * kMaxRelayHops;
-constexpr uint8_t kEstablishedFlag = 0x01;
-constexpr uint8_t kSenderKeepsCopyFlag = 0x02;
+constexpr uint8_t kPhaseMask = 0x03;
+constexpr uint8_t kSenderKeepsCopyFlag = 0x04;
 
 template <typename Tags>
 void StoreTags(const Tags& tags, uint8_t* bytes) {
@@ -36,7 +36,7 @@
   bytes[0] = kVersion;
   bytes[1] = static_cast<uint8_t>(header.purpose);
   bytes[2] = header.hops;
-  bytes[3] |= header.is_established ? kEstablishedFlag : 0;
+  bytes[3] = static_cast<uint8_t>(header.phase);
   bytes[3] |= header.sender_keeps_copy ? kSenderKeepsCopyFlag : 0;
   boost::endian::store_big_u32(bytes.data() + 4, header.generation);
   boost::endian::store_big_u32(bytes.data() + 8, header.upstream);
@@ -56,10 +56,14 @@
   if (purpose != RelayPurpose::kResolve && purpose != RelayPurpose::kRecord) {
     return std::nullopt;
   }
+  const uint8_t phase = datagram[3] & kPhaseMask;
+  if (phase > static_cast<uint8_t>(FlowPhase::kClosing)) {
+    return std::nullopt;
+  }
   RelayHeader header{
       .purpose = purpose,
       .hops = datagram[2],
-      .is_established = (datagram[3] & kEstablishedFlag) != 0,
+      .phase = static_cast<FlowPhase>(phase),
       .sender_keeps_copy = (datagram[3] & kSenderKeepsCopyFlag) != 0,
       .generation = boost::endian::load_big_u32(datagram.data() + 4),
       .upstream = boost::endian::load_big_u32(datagram.data() + 8),
--- a/src/libs/steering/relay_header.h
+++ b/src/libs/steering/relay_header.h
@@ -29,8 +29,8 @@
   RelayPurpose purpose = RelayPurpose::kResolve;
   // How often the packet was passed on.
   uint8_t hops = 0;
-  // The flow showed more than its first packet (kRecord).
-  bool is_established = false;
+  // The flow's phase (kRecord).
+  FlowPhase phase = FlowPhase::kOpening;
   // The sender holds the other copy of the record (kRecord).
   bool sender_keeps_copy = false;
   // The generation of the sender's plan.
--- a/src/libs/steering/router.cc
+++ b/src/libs/steering/router.cc
@@ -19,6 +19,14 @@
   return std::find(keepers.begin(), keepers.end(), member) != keepers.end();
 }
 
+// A packet that is not the first shows that the flow is open.
+FlowPhase PhaseAfter(FlowPhase phase, const PacketSummary& packet) {
+  if (packet.is_last || phase == FlowPhase::kClosing) {
+    return FlowPhase::kClosing;
+  }
+  return FlowPhase::kOpen;
+}
+
 Decision Drop(DropReason reason) {
   Decision decision;
   decision.drop_reason = reason;
@@ -258,9 +266,9 @@
 Decision Router::DecideFirst(const Context& context) {
   const GroupIndex group = DecidingGroup(context);
   const auto known = FindRecord(context);
-  if (known && !known->is_established) {
+  if (known && known->phase == FlowPhase::kOpening) {
     return RecordAndPassOn(context, GroupOfSelf(context), known->upstream,
-                           false);
+                           FlowPhase::kOpening);
   }
   const auto candidates = Candidates(context, group);
   const bool is_keeper = IsAmongKeepers(candidates, m_self_index);
@@ -268,8 +276,8 @@
   const bool may_pass_on = context.hops < kMaxRelayHops;
   if (const auto previous = PreviousDecider(context);
       previous && may_decide && may_pass_on) {
-    return Relay(context, *previous, RelayPurpose::kResolve, kNoUpstream, false,
-                 DecisionCause::kAskKeeper);
+    return Relay(context, *previous, RelayPurpose::kResolve, kNoUpstream,
+                 FlowPhase::kOpening, DecisionCause::kAskKeeper);
   }
   if (!may_decide && may_pass_on) {
     for (const MemberIndex candidate : candidates) {
@@ -277,7 +285,7 @@
         continue;
       }
       return Relay(context, candidate, RelayPurpose::kResolve, kNoUpstream,
-                   false, DecisionCause::kAskKeeper);
+                   FlowPhase::kOpening, DecisionCause::kAskKeeper);
     }
   }
   const UpstreamId upstream =
@@ -286,10 +294,10 @@
     return Drop(DropReason::kNoServingUpstream);
   }
   if (is_keeper || candidates.empty()) {
-    return RecordAndPassOn(context, group, upstream, false);
+    return RecordAndPassOn(context, group, upstream, FlowPhase::kOpening);
   }
   return RelayRecord(context, candidates[0], group,
-                     {context.hash, upstream, false, 0},
+                     {context.hash, upstream, FlowPhase::kOpening, 0},
                      DecisionCause::kFirstPacket);
 }
 
@@ -298,17 +306,17 @@
 Decision Router::RecordAndPassOn(const Context& context,
                                  GroupIndex group,
                                  UpstreamId upstream,
-                                 bool is_established) {
+                                 FlowPhase phase) {
   const int other = OtherKeeper(context, group);
-  const FlowRecord record{context.hash, upstream, is_established, TagOf(other)};
-  const auto lifetime = is_established ? kIdleTimeout : kHalfOpenTimeout;
+  const FlowRecord record{context.hash, upstream, phase, TagOf(other)};
   const InsertResult result =
-      m_flows.Insert(record, context.now + lifetime, context.now);
-  if (result == InsertResult::kFull && !is_established) {
+      m_flows.Insert(record, context.now + LifetimeOf(phase), context.now);
+  const bool is_opening = phase == FlowPhase::kOpening;
+  if (result == InsertResult::kFull && is_opening) {
     return ForwardUnrecorded(context);
   }
   const DecisionCause cause =
-      is_established ? DecisionCause::kRecord : DecisionCause::kFirstPacket;
+      is_opening ? DecisionCause::kFirstPacket : DecisionCause::kRecord;
   if (other == kNobody || context.hops >= kMaxRelayHops) {
     return Forward(context, upstream, cause);
   }
@@ -337,23 +345,22 @@
   const GroupIndex group = GroupOfTag(context, header.keeper_domain);
   if (!header.sender_keeps_copy) {
     // The sender is no keeper: the other keeper needs the record, too.
-    return RecordAndPassOn(context, group, header.upstream,
-                           header.is_established);
+    return RecordAndPassOn(context, group, header.upstream, header.phase);
   }
-  const FlowRecord record{context.hash, header.upstream, header.is_established,
+  const FlowRecord record{context.hash, header.upstream, header.phase,
                           TagOf(OtherKeeper(context, group))};
-  const auto lifetime = header.is_established ? kIdleTimeout : kHalfOpenTimeout;
-  m_flows.Insert(record, context.now + lifetime, context.now);
+  m_flows.Insert(record, context.now + LifetimeOf(header.phase), context.now);
   return Forward(context, header.upstream, DecisionCause::kRecordCopy);
 }
 
 Decision Router::ForwardRecorded(const Context& context,
                                  const FlowRecord& record) {
   const GroupIndex group = GroupOfSelf(context);
+  const FlowPhase phase = PhaseAfter(record.phase, context.packet);
+  const auto lifetime = LifetimeOf(phase);
   const auto deadline = m_flows.Deadline(context.hash, context.now);
-  const bool is_fresh =
-      record.is_established && deadline &&
-      *deadline > context.now + kIdleTimeout - kIdleTimeout / 4;
+  const bool is_fresh = phase == record.phase && deadline &&
+                        *deadline > context.now + lifetime - lifetime / 4;
   const bool has_backup =
       record.backup_tag == TagOf(OtherKeeper(context, group));
   if ((is_fresh && has_backup) || context.hops >= kMaxRelayHops) {
@@ -362,11 +369,11 @@
   const auto candidates = Candidates(context, group);
   if (candidates.empty() || IsAmongKeepers(candidates, m_self_index)) {
     // Renews this record and the other copy by passing the packet through.
-    return RecordAndPassOn(context, group, record.upstream, true);
+    return RecordAndPassOn(context, group, record.upstream, phase);
   }
   // A keeper lacks this record: passes it on with the packet.
   return RelayRecord(context, candidates[0], group,
-                     {context.hash, record.upstream, true, 0},
+                     {context.hash, record.upstream, phase, 0},
                      DecisionCause::kRecord);
 }
 
@@ -382,8 +389,9 @@
         WasVisited(context, step.host)) {
       continue;
     }
-    Decision decision = Relay(context, step.host, RelayPurpose::kResolve,
-                              kNoUpstream, false, DecisionCause::kAskKeeper);
+    Decision decision =
+        Relay(context, step.host, RelayPurpose::kResolve, kNoUpstream,
+              FlowPhase::kOpening, DecisionCause::kAskKeeper);
     NoteSearched(context, &decision.header);
     return decision;
   }
@@ -592,7 +600,7 @@
                        MemberIndex host,
                        RelayPurpose purpose,
                        UpstreamId upstream,
-                       bool is_established,
+                       FlowPhase phase,
                        DecisionCause cause) const {
   Decision decision;
   decision.action = Action::kRelay;
@@ -600,7 +608,7 @@
   decision.next_host = host;
   decision.header = {.purpose = purpose,
                      .hops = static_cast<uint8_t>(context.hops + 1),
-                     .is_established = is_established,
+                     .phase = phase,
                      .generation = context.plan.generation(),
                      .upstream = upstream,
                      .visited = context.visited,
@@ -617,7 +625,7 @@
                              const FlowRecord& record,
                              DecisionCause cause) const {
   Decision decision = Relay(context, host, RelayPurpose::kRecord,
-                            record.upstream, record.is_established, cause);
+                            record.upstream, record.phase, cause);
   decision.header.keeper_domain = m_members->DomainTagOf(group);
   return decision;
 }
--- a/src/libs/steering/router.h
+++ b/src/libs/steering/router.h
@@ -169,7 +169,7 @@
   Decision RecordAndPassOn(const Context& context,
                            GroupIndex group,
                            UpstreamId upstream,
-                           bool is_established);
+                           FlowPhase phase);
   Decision ForwardUnrecorded(const Context& context) const;
   Decision StoreCopy(const Context& context, const RelayHeader& header);
   Decision ForwardRecorded(const Context& context, const FlowRecord& record);
@@ -204,7 +204,7 @@
                  MemberIndex host,
                  RelayPurpose purpose,
                  UpstreamId upstream,
-                 bool is_established,
+                 FlowPhase phase,
                  DecisionCause cause) const;
   Decision RelayRecord(const Context& context,
                        MemberIndex host,
--- a/src/libs/steering/steering_constants.h
+++ b/src/libs/steering/steering_constants.h
@@ -41,6 +41,9 @@
 inline constexpr std::chrono::milliseconds kFirstPacketRepeat{4'000};
 // A record of a flow that showed only its first packet is kept this long.
 inline constexpr std::chrono::milliseconds kHalfOpenTimeout{64'000};
+// A record of a flow that was closed by its caller is kept this long after
+// its last packet.
+inline constexpr std::chrono::milliseconds kClosingTimeout{30'000};
 // A record of a flow without packets is kept this long.
 inline constexpr std::chrono::milliseconds kIdleTimeout{8 * 3'600'000};
 
--- a/src/tools/measure/host_steering.cc
+++ b/src/tools/measure/host_steering.cc
@@ -47,6 +47,7 @@
     const ServicePlan& plan = *found->second;
     const uint64_t hash = steering::HashFlow(packet.key, plan.hash_seed());
     const UpstreamId upstream = Choose(plan, packet, hash, now);
+    NoteLast(packet, hash, now);
     Decision decision;
     decision.upstream = plan.FindUpstream(upstream);
     decision.action =
@@ -64,6 +65,15 @@
                             uint64_t hash,
                             TimePoint now) = 0;
 
+  // A flow's last packet shortens its record's life.
+  void NoteLast(const PacketSummary& packet, uint64_t hash, TimePoint now) {
+    const auto record = m_flows.Find(hash, now);
+    if (!packet.is_last || !record) {
+      return;
+    }
+    m_flows.Insert(*record, now + LifetimeOf(steering::FlowPhase::kClosing),
+                   now);
+  }
   UpstreamId Recorded(const ServicePlan& plan,
                       uint64_t hash,
                       TimePoint now) const {
@@ -73,8 +83,8 @@
     return is_good ? record->upstream : steering::kNoUpstream;
   }
   void Record(uint64_t hash, UpstreamId upstream, TimePoint now) {
-    m_flows.Insert({hash, upstream, true, 0}, now + steering::kIdleTimeout,
-                   now);
+    m_flows.Insert({hash, upstream, steering::FlowPhase::kOpen, 0},
+                   now + steering::kIdleTimeout, now);
   }
 
   FlowTable m_flows;
@@ -127,7 +137,7 @@
     const UpstreamId owner = plan.OwnerOfNewFlows(bucket, now);
     if (owner != plan.Base(bucket) && owner != steering::kNoUpstream) {
       Record(hash, owner, now);
-      NoteDeviation({hash, owner, true, 0});
+      NoteDeviation({hash, owner, steering::FlowPhase::kOpen, 0});
     }
     return owner;
   }
--- a/src/tools/measure/packet_fleet.cc
+++ b/src/tools/measure/packet_fleet.cc
@@ -528,12 +528,11 @@
   if (flow.is_over) {
     return;
   }
-  if (flow.is_established && flow.ends_at_ms <= m_now_ms) {
-    EndFlow(index);
-    return;
-  }
-  const steering::PacketSummary packet{
-      .key = flow.key, .is_first = !flow.is_established, .marks_first = true};
+  const bool is_last = flow.is_established && flow.ends_at_ms <= m_now_ms;
+  const steering::PacketSummary packet{.key = flow.key,
+                                       .is_first = !flow.is_established,
+                                       .is_last = is_last,
+                                       .marks_first = true};
   ++m_result.packets;
   const std::optional<int> upstream = Carry(index, packet);
   if (!upstream) {
@@ -605,6 +604,10 @@
       Break(index, number);
       return;
     }
+    if (flow.ends_at_ms <= m_now_ms) {
+      EndFlow(index);
+      return;
+    }
     Schedule(index, m_now_ms + Exponential(flow.is_quiet ? kQuietGapMs
                                                          : kActiveGapMs));
     return;
--- a/tests/auto/steering/tst_packet_parser.cc
+++ b/tests/auto/steering/tst_packet_parser.cc
@@ -79,8 +79,15 @@
 }
 
 TEST_CASE("a relay header survives its wire form") {
-  const RelayHeader header{
-      RelayPurpose::kRecord, 3, true, true, 77, 123456, 4, {7, 8, 9}, {5}};
+  const RelayHeader header{.purpose = RelayPurpose::kRecord,
+                           .hops = 3,
+                           .phase = FlowPhase::kClosing,
+                           .sender_keeps_copy = true,
+                           .generation = 77,
+                           .upstream = 123456,
+                           .keeper_domain = 4,
+                           .visited = {7, 8, 9},
+                           .searched = {5}};
   CHECK(DecodeRelayHeader(Encode(header)) == header);
   auto bytes = Encode(header);
   bytes[0] = 2;
@@ -88,6 +95,9 @@
   bytes = Encode(header);
   bytes[1] = 9;
   CHECK_FALSE(DecodeRelayHeader(bytes));
+  bytes = Encode(header);
+  bytes[3] = 3;
+  CHECK_FALSE(DecodeRelayHeader(bytes));
   CHECK_FALSE(DecodeRelayHeader(std::span(bytes).first(kRelayHeaderSize - 1)));
 }
 
