Find entry hosts that do not answer, and keep records on both sides of a cut

Cause: a keeper that left while the platform was away stayed a keeper, since only the platform's list said otherwise; packets passed to it were lost. A trace showed the same for a cut-off domain, whose records lay inside it alone. Change: the entry hosts ping each other (SWIM); a host that others took for dead hears so before they use it again, and then no longer claims to know all flows. Keepers alternate between the owner's domain and another.

--- a/cmake/poplarsail.cmake
+++ b/cmake/poplarsail.cmake
@@ -15,7 +15,9 @@
 add_library(poplarsail_flags INTERFACE)
 target_compile_options(poplarsail_flags INTERFACE
   -Wall -Wextra -Werror -Wshadow -Wnon-virtual-dtor -Woverloaded-virtual
-  -Wno-missing-field-initializers)
+  -Wno-missing-field-initializers
+  # Reports copies of std::variant that are initialized (GCC 12).
+  $<$<CXX_COMPILER_ID:GNU>:-Wno-maybe-uninitialized>)
 target_compile_definitions(poplarsail_flags INTERFACE
   BOOST_ASIO_NO_DEPRECATED BOOST_BIND_GLOBAL_PLACEHOLDERS
   BOOST_ALLOW_DEPRECATED_HEADERS)
--- a/src/libs/model/settings.cc
+++ b/src/libs/model/settings.cc
@@ -116,11 +116,16 @@
       {"packets", "port", Type::kNumber, "6080", 1, kMaxPort,
        "UDP port for IP packets from the fabric."},
       {"packets", "relay_port", Type::kNumber, "6081", 1, kMaxPort,
-       "UDP port for packets that entry hosts pass to each other."},
+       "UDP port for packets that entry hosts pass to each other; the same on "
+       "all."},
       {"packets", "upstream_port", Type::kNumber, "6080", 1, kMaxPort,
        "UDP port at which upstream hosts take IP packets."},
       {"packets", "flow_capacity", Type::kNumber, "1000000", 1024,
        kMaxFlowCapacity, "Number of flow records that this host can hold."},
+      {"membership", "port", Type::kNumber, "6082", 1, kMaxPort,
+       "UDP port at which entry hosts find out who of them answers; the same "
+       "on "
+       "all."},
       {"requests", "port", Type::kNumber, "8080", 1, kMaxPort,
        "TCP port for HTTP/2 requests."},
       {"admin", "port", Type::kNumber, "9100", 1, kMaxPort,
@@ -163,6 +168,7 @@
   settings.relay_port = number("packets.relay_port");
   settings.upstream_packet_port = number("packets.upstream_port");
   settings.flow_capacity = number("packets.flow_capacity");
+  settings.membership_port = number("membership.port");
   settings.request_port = number("requests.port");
   settings.admin_port = number("admin.port");
   settings.object_api = *ParseEndpoint(values.at("objects.endpoint"));
--- a/src/libs/model/settings.h
+++ b/src/libs/model/settings.h
@@ -37,6 +37,7 @@
   uint16_t relay_port = 0;
   uint16_t upstream_packet_port = 0;
   uint32_t flow_capacity = 0;
+  uint16_t membership_port = 0;
   uint16_t request_port = 0;
   uint16_t admin_port = 0;
   Endpoint object_api;
--- a/src/libs/runtime/control_duty.cc
+++ b/src/libs/runtime/control_duty.cc
@@ -39,10 +39,12 @@
 ControlDuty::ControlDuty(const model::Settings& settings,
                          std::unique_ptr<objects::ObjectStore> store,
                          PacketDuty* packets,
+                         MembershipDuty* membership,
                          RequestDuty* requests)
     : m_settings(settings),
       m_store(std::move(store)),
       m_packets(packets),
+      m_membership(membership),
       m_requests(requests),
       m_random(std::random_device()()),
       m_counters(std::make_shared<telemetry::Counters>(
@@ -61,7 +63,6 @@
       ServeStore();
     }
     Reconcile();
-    PublishMembers();
     PushPending();
   }
 }
@@ -134,7 +135,6 @@
     return;
   }
   m_reconciled_change = m_config.change_count();
-  m_next_keeper_change = Now();
   PublishMembers();
   PublishPlans();
   PublishRequestUpstreams();
@@ -199,22 +199,13 @@
 }
 
 void ControlDuty::PublishMembers() {
-  const TimePoint now = Now();
-  if (now < m_next_keeper_change) {
+  MemberList list{m_config.Members(m_settings.relay_port),
+                  m_config.FailureDomains()};
+  if (m_published_members != nullptr && *m_published_members == list) {
     return;
   }
-  const auto members = m_config.Members(m_settings.relay_port);
-  m_next_keeper_change = steering::NextKeeperChange(members, now);
-  auto keepers = steering::KeepersAt(members, now);
-  const auto domains = m_config.FailureDomains();
-  if (keepers == m_published_keepers && domains == m_published_domains) {
-    return;
-  }
-  m_published_keepers = keepers;
-  m_published_domains = domains;
-  m_pending_packets.push_back(
-      SetMembersCommand{std::make_shared<const steering::KeeperMap>(
-          std::move(keepers), domains)});
+  m_published_members = std::make_shared<const MemberList>(std::move(list));
+  m_pending_members = m_published_members;
 }
 
 void ControlDuty::PublishRequestUpstreams() {
@@ -246,6 +237,10 @@
          m_packets->commands().TryPush(m_pending_packets.front())) {
     m_pending_packets.pop_front();
   }
+  if (m_pending_members != nullptr &&
+      m_membership->lists().TryPush(m_pending_members)) {
+    m_pending_members = nullptr;
+  }
   while (!m_pending_requests.empty() &&
          m_requests->commands().TryPush(m_pending_requests.front())) {
     m_pending_requests.pop_front();
--- a/src/libs/runtime/control_duty.h
+++ b/src/libs/runtime/control_duty.h
@@ -10,6 +10,7 @@
 
 #include "control/control.h"
 #include "objects/objects.h"
+#include "runtime/membership_duty.h"
 #include "runtime/packet_duty.h"
 #include "runtime/request_duty.h"
 
@@ -22,6 +23,7 @@
   ControlDuty(const model::Settings& settings,
               std::unique_ptr<objects::ObjectStore> store,
               PacketDuty* packets,
+              MembershipDuty* membership,
               RequestDuty* requests);
 
   // Runs until `stop` is set.
@@ -51,6 +53,7 @@
   std::unique_ptr<objects::ObjectStore> m_store;
   std::unique_ptr<objects::ObjectWatch> m_watch;
   PacketDuty* m_packets;
+  MembershipDuty* m_membership;
   RequestDuty* m_requests;
   control::ConfigState m_config;
   std::mt19937_64 m_random;
@@ -60,9 +63,7 @@
   uint64_t m_reconciled_change = 0;
   bool m_store_is_up = true;
   std::map<std::string, uint32_t> m_published_plans;
-  std::vector<steering::Member> m_published_keepers;
-  std::vector<std::string> m_published_domains;
-  model::TimePoint m_next_keeper_change;
+  std::shared_ptr<const MemberList> m_published_members;
   // When this host keeps flow records, as announced in its status.
   model::TimePoint m_keeper_from = model::TimePoint::max();
   model::TimePoint m_keeper_until = model::TimePoint::max();
@@ -70,6 +71,7 @@
       m_published_upstreams;
   std::deque<PacketCommand> m_pending_packets;
   std::deque<RequestCommand> m_pending_requests;
+  std::shared_ptr<const MemberList> m_pending_members;
   nlohmann::json m_reported_status;
   std::atomic<bool> m_is_ready = false;
   std::atomic<bool> m_is_stopping = false;
--- a/src/libs/runtime/daemon.cc
+++ b/src/libs/runtime/daemon.cc
@@ -13,6 +13,7 @@
 #include "objects/objects.h"
 #include "runtime/admin_duty.h"
 #include "runtime/control_duty.h"
+#include "runtime/membership_duty.h"
 #include "runtime/packet_duty.h"
 #include "runtime/request_duty.h"
 
@@ -32,12 +33,14 @@
   explicit Daemon(const model::Settings& settings)
       : m_settings(settings),
         m_packets(settings),
+        m_membership(settings, &m_packets),
         m_requests(settings),
         m_control(
             settings,
             std::make_unique<objects::HttpObjectStore>(settings.object_api,
                                                        kStoreCallTimeout),
             &m_packets,
+            &m_membership,
             &m_requests),
         m_admin(settings, &m_packets, AllCounters(), [this] {
           return m_control.is_ready() && !m_is_stopping.load();
@@ -45,6 +48,7 @@
 
   void Run() {
     std::thread packets([this] { m_packets.Run(m_stop_packets); });
+    std::thread membership([this] { m_membership.Run(m_stop_packets); });
     std::thread requests([this] { m_requests.Run(); });
     std::thread control([this] { m_control.Run(m_stop_control); });
     std::thread admin([this] { m_admin.Run(m_stop_admin); });
@@ -65,6 +69,7 @@
     control.join();
     m_stop_packets.store(true);
     packets.join();
+    membership.join();
     m_stop_admin.store(true);
     admin.join();
     Log(LogLevel::kInfo, "daemon", "stopped");
@@ -77,6 +82,7 @@
       counters.push_back(item);
     }
     counters.push_back(m_control.counters());
+    counters.push_back(m_membership.counters());
     return counters;
   }
 
@@ -107,6 +113,7 @@
   std::atomic<bool> m_stop_admin = false;
   std::atomic<bool> m_is_stopping = false;
   PacketDuty m_packets;
+  MembershipDuty m_membership;
   RequestDuty m_requests;
   ControlDuty m_control;
   AdminDuty m_admin;
--- a/src/libs/runtime/packet_duty.cc
+++ b/src/libs/runtime/packet_duty.cc
@@ -15,6 +15,7 @@
 using steering::Decision;
 
 constexpr size_t kCommandRing = 4'096;
+constexpr size_t kMemberCommandRing = 64;
 constexpr size_t kQueryRing = 64;
 constexpr int kPollMillis = 10;
 // A loop that took longer than this did not run in between.
@@ -65,6 +66,7 @@
       m_relay_port(settings.address, settings.relay_port),
       m_router(settings.host_name, settings.flow_capacity, model::Now()),
       m_commands(kCommandRing),
+      m_member_commands(kMemberCommandRing),
       m_queries(kQueryRing),
       m_next_wake_by(model::Now() + kPauseThreshold),
       m_decisions(std::make_shared<telemetry::Counters>(
@@ -125,7 +127,7 @@
 
 void PacketDuty::TakeCommands() {
   PacketCommand command;
-  while (m_commands.TryPop(command)) {
+  while (m_commands.TryPop(command) || m_member_commands.TryPop(command)) {
     Execute(command);
   }
 }
@@ -137,6 +139,8 @@
     m_router.RemoveService(remove->service);
   } else if (const auto* members = std::get_if<SetMembersCommand>(&command)) {
     m_router.SetMembers(members->members, model::Now());
+  } else {
+    m_router.NotePause(model::Now());
   }
 }
 
--- a/src/libs/runtime/packet_duty.h
+++ b/src/libs/runtime/packet_duty.h
@@ -23,9 +23,13 @@
 struct SetMembersCommand {
   std::shared_ptr<const steering::KeeperMap> members;
 };
-// What the control duty tells the packet duty.
-using PacketCommand =
-    std::variant<SetPlanCommand, RemoveServiceCommand, SetMembersCommand>;
+// Others took this host for dead: it may lack flow records.
+struct NotePauseCommand {};
+// What other duties tell the packet duty.
+using PacketCommand = std::variant<SetPlanCommand,
+                                   RemoveServiceCommand,
+                                   SetMembersCommand,
+                                   NotePauseCommand>;
 
 // Where a packet would go, in words for operators.
 struct ExplainAnswer {
@@ -48,7 +52,12 @@
   // Runs until `stop` is set.
   void Run(const std::atomic<bool>& stop);
 
+  // Plans, from the control duty.
   transport::BoundedRing<PacketCommand>& commands() { return m_commands; }
+  // Members, from the membership duty.
+  transport::BoundedRing<PacketCommand>& member_commands() {
+    return m_member_commands;
+  }
   transport::BoundedRing<ExplainQuery>& queries() { return m_queries; }
   std::vector<std::shared_ptr<telemetry::Counters>> counters() const;
 
@@ -68,6 +77,7 @@
   transport::UdpPacketPort m_relay_port;
   steering::Router m_router;
   transport::BoundedRing<PacketCommand> m_commands;
+  transport::BoundedRing<PacketCommand> m_member_commands;
   transport::BoundedRing<ExplainQuery> m_queries;
   model::TimePoint m_next_wake_by;
   std::shared_ptr<telemetry::Counters> m_decisions;
--- a/src/libs/steering/keeper_map.cc
+++ b/src/libs/steering/keeper_map.cc
@@ -19,14 +19,31 @@
   return x ^ (x >> 31);
 }
 
-// Appends the `count` members with the highest scores, best first.
-void AppendBest(std::vector<std::pair<uint64_t, MemberIndex>>* scores,
-                size_t count,
-                std::vector<MemberIndex>* result) {
-  std::partial_sort(scores->begin(), scores->begin() + count, scores->end(),
-                    std::greater<>());
+using Scores = std::vector<std::pair<uint64_t, MemberIndex>>;
+
+// Puts the highest scores first, as far as `count`.
+void SortBest(Scores* scores, size_t count) {
+  std::partial_sort(scores->begin(),
+                    scores->begin() + std::min(count, scores->size()),
+                    scores->end(), std::greater<>());
+}
+
+// Takes in turn from both, starting with `first`, until there are `count`.
+void AppendInTurn(const Scores& first,
+                  const Scores& second,
+                  size_t count,
+                  std::vector<MemberIndex>* result) {
+  size_t next_first = 0;
+  size_t next_second = 0;
   for (size_t i = 0; i < count; ++i) {
-    result->push_back((*scores)[i].second);
+    const bool wants_first = i % 2 == 0;
+    const bool has_first = next_first < first.size();
+    const bool has_second = next_second < second.size();
+    if ((wants_first && has_first) || !has_second) {
+      result->push_back(first[next_first++].second);
+    } else {
+      result->push_back(second[next_second++].second);
+    }
   }
 }
 
@@ -99,8 +116,8 @@
   Group group{.failure_domain = failure_domain,
               .tag = TagOfName(failure_domain)};
   group.candidates.reserve(m_width * kKeeperSlots);
-  std::vector<std::pair<uint64_t, MemberIndex>> own;
-  std::vector<std::pair<uint64_t, MemberIndex>> others;
+  Scores own;
+  Scores others;
   for (uint32_t slot = 0; slot < kKeeperSlots; ++slot) {
     own.clear();
     others.clear();
@@ -110,10 +127,9 @@
           .emplace_back(Mix(m_member_hashes[i], slot),
                         static_cast<MemberIndex>(i));
     }
-    const size_t reserved = others.empty() ? 0 : 1;
-    const size_t own_count = std::min(own.size(), m_width - reserved);
-    AppendBest(&own, own_count, &group.candidates);
-    AppendBest(&others, m_width - own_count, &group.candidates);
+    SortBest(&own, m_width);
+    SortBest(&others, m_width);
+    AppendInTurn(own, others, m_width, &group.candidates);
   }
   return group;
 }
--- a/src/libs/steering/keeper_map.h
+++ b/src/libs/steering/keeper_map.h
@@ -69,9 +69,9 @@
   }
   DomainTag DomainTagOf(GroupIndex group) const { return m_groups[group].tag; }
 
-  // Members in order of preference, kKeeperCandidates at most: those of the
-  // failure domain first, then others. The last place is for another domain's
-  // member, who stands in while a whole domain is away.
+  // Members in order of preference, kKeeperCandidates at most: in turn one of
+  // the failure domain and one of another, so that a record is found on both
+  // sides when the domain is cut off.
   std::span<const MemberIndex> Candidates(GroupIndex group,
                                           uint32_t slot) const {
     const Group& found = m_groups[group];
--- a/src/libs/transport/udp_packet_port.cc
+++ b/src/libs/transport/udp_packet_port.cc
@@ -63,6 +63,7 @@
       : buffers(batch * kMaxDatagram),
         receive_parts(batch),
         receive_messages(batch),
+        senders(batch),
         views(batch),
         outgoing(batch),
         send_messages(batch) {
@@ -71,6 +72,7 @@
       receive_messages[i] = {};
       receive_messages[i].msg_hdr.msg_iov = &receive_parts[i];
       receive_messages[i].msg_hdr.msg_iovlen = 1;
+      receive_messages[i].msg_hdr.msg_name = senders[i].data();
     }
   }
 
@@ -78,6 +80,7 @@
   std::vector<uint8_t> buffers;
   std::vector<iovec> receive_parts;
   std::vector<mmsghdr> receive_messages;
+  std::vector<UdpEndpoint> senders;
   std::vector<std::span<const uint8_t>> views;
   std::vector<Outgoing> outgoing;
   std::vector<mmsghdr> send_messages;
@@ -110,6 +113,10 @@
 
 std::span<const std::span<const uint8_t>> UdpPacketPort::Receive() {
   Impl& impl = *m_impl;
+  for (size_t i = 0; i < impl.senders.size(); ++i) {
+    impl.receive_messages[i].msg_hdr.msg_namelen =
+        static_cast<socklen_t>(impl.senders[i].capacity());
+  }
   const int count =
       ::recvmmsg(impl.fd, impl.receive_messages.data(),
                  static_cast<unsigned>(impl.receive_messages.size()),
@@ -125,6 +132,11 @@
   return {impl.views.data(), static_cast<size_t>(count)};
 }
 
+model::Endpoint UdpPacketPort::SenderOf(size_t index) const {
+  const UdpEndpoint& sender = m_impl->senders[index];
+  return {sender.address(), sender.port()};
+}
+
 void UdpPacketPort::Queue(const model::Endpoint& destination,
                           std::span<const uint8_t> header,
                           std::span<const uint8_t> payload) {
--- a/src/libs/transport/udp_packet_port.h
+++ b/src/libs/transport/udp_packet_port.h
@@ -29,6 +29,9 @@
              std::span<const uint8_t> payload) override;
   size_t Flush() override;
 
+  // Where datagram `index` of the last Receive came from.
+  model::Endpoint SenderOf(size_t index) const;
+
   // The socket, for poll.
   int fd() const;
   model::Endpoint local_endpoint() const;
--- a/src/tools/measure/packet_fleet.cc
+++ b/src/tools/measure/packet_fleet.cc
@@ -30,6 +30,12 @@
 // Between a host's announcement that it keeps records, or stops, and that time.
 constexpr int64_t kKeeperAnnounceMs = 4'000;
 constexpr int64_t kLingerMs = 6'000;
+// One way between two hosts.
+constexpr int64_t kLinkLeastMs = 1;
+constexpr int64_t kLinkMostMs = 8;
+constexpr double kLossShare = 0.05;
+constexpr size_t kUdpOverheadBytes = 28;
+constexpr int64_t kDetectorTickMs = 10;
 constexpr int64_t kDigestIntervalMs = 100;
 constexpr int64_t kFirstRetryMs = 1'000;
 constexpr int64_t kLossRetryMs = 300;
@@ -51,6 +57,9 @@
   std::string name;
   int domain = 0;
   std::unique_ptr<HostSteering> steering;
+  std::unique_ptr<membership::FailureDetector> detector;
+  uint64_t seen_changes = 0;
+  uint32_t seen_refutations = 0;
   // The process runs.
   bool is_up = true;
   // The platform's list names the host as live.
@@ -95,6 +104,7 @@
   steering::ServicePlanPtr plan;
   std::shared_ptr<const std::vector<steering::Member>> members;
   std::shared_ptr<const Digest> digest;
+  std::shared_ptr<const membership::Message> peer_message;
 };
 
 PacketFleet::PacketFleet(Way way,
@@ -136,8 +146,7 @@
   m_now_ms = -3'600'000;
   MembersChanged();
   for (auto& [at_ms, delivery] : m_deliveries) {
-    m_hosts[delivery.first]->members = *delivery.second.members;
-    RefreshKeepers(m_hosts[delivery.first].get());
+    TakeMembers(m_hosts[delivery.first].get(), *delivery.second.members);
   }
   m_deliveries.clear();
   m_now_ms = 0;
@@ -156,6 +165,9 @@
       Replan();
     }
     RunDeliveries();
+    if (m_now_ms % kDetectorTickMs == 0) {
+      RunFailureDetectors();
+    }
     if (m_now_ms % kDigestIntervalMs == 0) {
       SpreadDigests();
     }
@@ -333,6 +345,8 @@
   host->name = fmt::format("e{:02}", number);
   host->domain = number % m_options.domains;
   host->steering = MakeHostSteering(m_way, host->name, kFlowCapacity, Now());
+  host->detector = std::make_unique<membership::FailureDetector>(
+      host->name, m_random(), Now());
   host->fabric_from_ms = m_now_ms + kFabricLagMs;
   // A host takes the plan and the members, from peers if need be, before it
   // takes packets.
@@ -341,8 +355,7 @@
     host->fabric_from_ms = 0;
   } else {
     host->keeper_from = Now() + std::chrono::milliseconds(kKeeperAnnounceMs);
-    host->members = m_members;
-    RefreshKeepers(host.get());
+    TakeMembers(host.get(), m_members);
   }
   m_hosts.push_back(std::move(host));
 }
@@ -373,8 +386,23 @@
   }
 }
 
+void PacketFleet::TakeMembers(Host* host,
+                              const std::vector<steering::Member>& members) {
+  host->members = members;
+  std::vector<std::string> names;
+  for (const steering::Member& member : members) {
+    names.push_back(member.name);
+  }
+  host->detector->SetPeers(names, Now());
+  RefreshKeepers(host);
+}
+
 void PacketFleet::RefreshKeepers(Host* host) {
-  const auto keepers = steering::KeepersAt(host->members, Now());
+  auto keepers = steering::KeepersAt(host->members, Now());
+  const auto dead = host->detector->DeadPeers();
+  std::erase_if(keepers, [&dead](const steering::Member& member) {
+    return std::binary_search(dead.begin(), dead.end(), member.name);
+  });
   std::vector<std::string> names;
   for (const steering::Member& keeper : keepers) {
     names.push_back(keeper.name);
@@ -433,7 +461,7 @@
   if (m_half_late && host % 2 == 1) {
     at_ms += kLateMs;
   }
-  std::bernoulli_distribution is_lost(0.05);
+  std::bernoulli_distribution is_lost(kLossShare);
   while (m_is_lossy && is_lost(m_random)) {
     at_ms += kRetryMs;
   }
@@ -459,7 +487,7 @@
     Host& host = *m_hosts[host_index];
     if (!host.is_up) {
       // A paused host reads what waited when it goes on.
-      if (host.ends_at_ms == INT64_MAX) {
+      if (host.ends_at_ms == INT64_MAX && delivery.peer_message == nullptr) {
         Deliver(host_index, m_now_ms + kRetryMs, delivery);
       }
       continue;
@@ -468,8 +496,12 @@
       host.steering->SetPlan(delivery.plan);
     }
     if (delivery.members != nullptr) {
-      host.members = *delivery.members;
-      RefreshKeepers(&host);
+      TakeMembers(&host, *delivery.members);
+    }
+    if (delivery.peer_message != nullptr) {
+      SendAll(host_index,
+              host.detector->Receive(*delivery.peer_message, Now()));
+      NoteDetector(&host);
     }
     if (delivery.digest != nullptr) {
       host.steering->ReceiveDigest(*delivery.digest, Now());
@@ -477,6 +509,63 @@
   }
 }
 
+bool PacketFleet::IsCut(int domain, int other_domain) const {
+  return domain != other_domain &&
+         (m_domain_cut[domain] || m_domain_cut[other_domain]);
+}
+
+int PacketFleet::FindHost(const std::string& name) const {
+  for (size_t i = 0; i < m_hosts.size(); ++i) {
+    if (m_hosts[i]->name == name) {
+      return static_cast<int>(i);
+    }
+  }
+  return -1;
+}
+
+void PacketFleet::RunFailureDetectors() {
+  for (size_t i = 0; i < m_hosts.size(); ++i) {
+    if (m_hosts[i]->is_up) {
+      SendAll(static_cast<int>(i), m_hosts[i]->detector->Tick(Now()));
+      NoteDetector(m_hosts[i].get());
+    }
+  }
+}
+
+void PacketFleet::SendAll(
+    int from,
+    const std::vector<membership::OutgoingMessage>& messages) {
+  std::uniform_int_distribution<int64_t> delay(kLinkLeastMs, kLinkMostMs);
+  std::bernoulli_distribution is_lost(kLossShare);
+  for (const membership::OutgoingMessage& item : messages) {
+    m_control_bytes_this_second +=
+        static_cast<double>(membership::Encode(item.message).size() +
+                            kUdpOverheadBytes) /
+        static_cast<double>(m_hosts.size());
+    const int to = FindHost(item.to);
+    const bool is_delivered =
+        to >= 0 && !IsCut(m_hosts[from]->domain, m_hosts[to]->domain) &&
+        !(m_is_lossy && is_lost(m_random));
+    if (!is_delivered) {
+      continue;
+    }
+    Deliver(to, m_now_ms + delay(m_random),
+            {.peer_message =
+                 std::make_shared<const membership::Message>(item.message)});
+  }
+}
+
+void PacketFleet::NoteDetector(Host* host) {
+  if (host->detector->refutation_count() != host->seen_refutations) {
+    host->seen_refutations = host->detector->refutation_count();
+    host->steering->NotePause(Now());
+  }
+  if (host->detector->change_count() != host->seen_changes) {
+    host->seen_changes = host->detector->change_count();
+    RefreshKeepers(host);
+  }
+}
+
 void PacketFleet::SpreadDigests() {
   for (size_t from = 0; from < m_hosts.size(); ++from) {
     if (!m_hosts[from]->is_up) {
@@ -570,16 +659,12 @@
     const Decision decision =
         host.steering->Decide(packet, header ? &*header : nullptr, Now());
     m_last_path.emplace_back(host_index, decision.cause);
-    const auto is_cut = [&](int domain) {
-      return domain != host.domain &&
-             (m_domain_cut[domain] || m_domain_cut[host.domain]);
-    };
     if (decision.action == Action::kDrop) {
       return std::nullopt;
     }
     if (decision.action == Action::kForward) {
       const int number = std::stoi(decision.upstream->name.substr(1));
-      if (is_cut(m_upstreams[number].domain)) {
+      if (IsCut(host.domain, m_upstreams[number].domain)) {
         return std::nullopt;
       }
       return number;
@@ -587,8 +672,8 @@
     ++m_result.relays;
     const auto& members = host.steering->members()->members();
     const std::string& name = members[decision.next_host].name;
-    host_index = std::stoi(name.substr(1));
-    if (is_cut(m_hosts[host_index]->domain)) {
+    host_index = FindHost(name);
+    if (IsCut(host.domain, m_hosts[host_index]->domain)) {
       return std::nullopt;
     }
     header = decision.header;
@@ -613,7 +698,9 @@
     return;
   }
   Upstream& upstream = m_upstreams[number];
-  if (upstream.closed_at_ms >= 0) {
+  // A repeat of a first packet that the upstream took before is no new flow.
+  const bool is_repeat = flow.owner == number;
+  if (upstream.closed_at_ms >= 0 && !is_repeat) {
     m_result.last_new_flow_ms =
         std::max(m_result.last_new_flow_ms, m_now_ms - upstream.closed_at_ms);
   }
--- a/src/tools/measure/packet_fleet.h
+++ b/src/tools/measure/packet_fleet.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "measure/host_steering.h"
+#include "membership/membership.h"
 
 namespace poplarsail::measure {
 
@@ -124,11 +125,19 @@
   void GiveUpFlows(const std::function<bool(int)>& is_affected);
   void AddHost(int number);
   void MembersChanged();
+  // Lets the hosts find out who of them answers.
+  void RunFailureDetectors();
+  void SendAll(int from,
+               const std::vector<membership::OutgoingMessage>& messages);
+  void NoteDetector(Host* host);
+  void TakeMembers(Host* host, const std::vector<steering::Member>& members);
   // Gives the host the keepers of its own member list at this time.
   void RefreshKeepers(Host* host);
   void Replan();
   void Deliver(int host, int64_t at_ms, Delivery delivery);
   int64_t DeliveryTime(int host);
+  bool IsCut(int domain, int other_domain) const;
+  int FindHost(const std::string& name) const;
   void RunDeliveries();
   void SpreadDigests();
   void OpenFlow(bool is_long);
