--- a/src/libs/steering/keeper_map.cc
+++ b/src/libs/steering/keeper_map.cc
@@ -1,6 +1,7 @@
 #include "steering/keeper_map.h"
 
 #include <algorithm>
+#include <boost/container/small_vector.hpp>
 #include <functional>
 #include <set>
 #include <utility>
@@ -19,13 +20,20 @@
   return x ^ (x >> 31);
 }
 
-using Scores = std::vector<std::pair<uint64_t, MemberIndex>>;
+using Scores =
+    boost::container::small_vector<std::pair<uint64_t, MemberIndex>, 16>;
 
-// Puts the highest scores first, as far as `count`.
-void SortBest(Scores* scores, size_t count) {
-  std::partial_sort(scores->begin(),
-                    scores->begin() + std::min(count, scores->size()),
-                    scores->end(), std::greater<>());
+// Inserts into a list of at most `most` scores, the highest first.
+void KeepBest(const Scores::value_type& score, size_t most, Scores* best) {
+  if (best->size() == most) {
+    if (score < best->back()) {
+      return;
+    }
+    best->pop_back();
+  }
+  best->insert(
+      std::upper_bound(best->begin(), best->end(), score, std::greater<>()),
+      score);
 }
 
 // Takes in turn from both, starting with `first`, until there are `count`.
@@ -91,7 +99,14 @@
     domains.insert(member.failure_domain);
   }
   for (const std::string& domain : domains) {
-    m_groups.push_back(BuildGroup(domain));
+    m_groups.push_back({domain, TagOfName(domain), {}});
+    m_groups.back().candidates.reserve(m_width * kKeeperSlots);
+  }
+  for (const Member& member : m_members) {
+    m_member_groups.push_back(GroupOf(member.failure_domain));
+  }
+  for (uint32_t slot = 0; slot < kKeeperSlots; ++slot) {
+    ChooseCandidates(slot);
   }
 }
 
@@ -111,27 +126,25 @@
   return static_cast<uint32_t>(Mix(service_hash, bucket) % kKeeperSlots);
 }
 
-KeeperMap::Group KeeperMap::BuildGroup(
-    const std::string& failure_domain) const {
-  Group group{.failure_domain = failure_domain,
-              .tag = TagOfName(failure_domain)};
-  group.candidates.reserve(m_width * kKeeperSlots);
-  Scores own;
-  Scores others;
-  for (uint32_t slot = 0; slot < kKeeperSlots; ++slot) {
-    own.clear();
-    others.clear();
-    for (size_t i = 0; i < m_members.size(); ++i) {
-      const bool is_own = m_members[i].failure_domain == failure_domain;
-      (is_own ? own : others)
-          .emplace_back(Mix(m_member_hashes[i], slot),
-                        static_cast<MemberIndex>(i));
+// Chooses the candidates of all groups for one slot. A host's score is the same
+// for all groups, so the best of each domain are found once.
+void KeeperMap::ChooseCandidates(uint32_t slot) {
+  std::vector<Scores> best(m_groups.size());
+  for (size_t i = 0; i < m_members.size(); ++i) {
+    Scores& own = best[m_member_groups[i]];
+    KeepBest({Mix(m_member_hashes[i], slot), static_cast<MemberIndex>(i)},
+             m_width, &own);
+  }
+  for (size_t group = 0; group < m_groups.size(); ++group) {
+    Scores others;
+    for (size_t other = 0; other < m_groups.size(); ++other) {
+      if (other != group) {
+        others.insert(others.end(), best[other].begin(), best[other].end());
+      }
     }
-    SortBest(&own, m_width);
-    SortBest(&others, m_width);
-    AppendInTurn(own, others, m_width, &group.candidates);
+    std::sort(others.begin(), others.end(), std::greater<>());
+    AppendInTurn(best[group], others, m_width, &m_groups[group].candidates);
   }
-  return group;
 }
 
 int KeeperMap::IndexOf(const std::string& name) const {
--- a/src/libs/steering/keeper_map.h
+++ b/src/libs/steering/keeper_map.h
@@ -92,11 +92,12 @@
     std::vector<MemberIndex> candidates;
   };
 
-  Group BuildGroup(const std::string& failure_domain) const;
+  void ChooseCandidates(uint32_t slot);
 
   std::vector<Member> m_members;
   std::vector<uint64_t> m_member_hashes;
   std::vector<HostTag> m_tags;
+  std::vector<GroupIndex> m_member_groups;
   size_t m_width = 0;
   std::vector<Group> m_groups;
 };
