Choose the keepers' group of each link when the plan changes

Cause: each decision in a bucket with several owners searched its upstreams and their groups several times, and copied the relay header.

--- a/src/libs/steering/router.cc
+++ b/src/libs/steering/router.cc
@@ -139,9 +139,12 @@
 }
 
 void Router::AssignGroups(Entry* entry) const {
-  entry->groups.clear();
-  for (const PlannedUpstream& upstream : entry->plan->upstreams()) {
-    entry->groups.push_back(m_members->GroupOf(upstream.failure_domain));
+  entry->link_groups.clear();
+  for (const BucketLink& link : entry->plan->AllLinks()) {
+    const PlannedUpstream* upstream = entry->plan->FindUpstream(link.upstream);
+    entry->link_groups.push_back(
+        upstream == nullptr ? GroupIndex{0}
+                            : m_members->GroupOf(upstream->failure_domain));
   }
 }
 
@@ -192,19 +195,17 @@
                                     const RelayHeader* relay,
                                     TimePoint now) const {
   const ServicePlan& plan = *entry.plan;
-  const RelayHeader no_relay;
-  const RelayHeader& header = relay == nullptr ? no_relay : *relay;
+  static const RelayHeader from_fabric;
   const uint64_t hash = HashFlow(packet.key, plan.hash_seed());
   const uint32_t bucket = plan.BucketOf(hash);
   return {.plan = plan,
-          .groups = entry.groups,
+          .links = plan.Links(bucket),
+          .link_groups = entry.link_groups.data() + plan.FirstLink(bucket),
           .packet = packet,
           .hash = hash,
           .bucket = bucket,
           .slot = KeeperMap::SlotOf(entry.service_hash, bucket),
-          .hops = header.hops,
-          .visited = header.visited,
-          .searched = header.searched,
+          .relay = relay == nullptr ? from_fabric : *relay,
           .now = now};
 }
 
@@ -223,7 +224,7 @@
   if (relay != nullptr && relay->purpose == RelayPurpose::kRecord) {
     return StoreCopy(context, *relay);
   }
-  if (entry.plan->Links(context.bucket).empty()) {
+  if (context.links.empty()) {
     return Forward(context, entry.plan->Base(context.bucket),
                    DecisionCause::kStableBucket);
   }
@@ -238,7 +239,7 @@
     return Drop(DropReason::kUnknownService);
   }
   const Context context = MakeContext(found->second, packet, nullptr, now);
-  if (context.plan.Links(context.bucket).empty()) {
+  if (context.links.empty()) {
     return Forward(context, context.plan.Base(context.bucket),
                    DecisionCause::kStableBucket);
   }
@@ -286,7 +287,7 @@
   const auto candidates = Candidates(context, group);
   const bool is_keeper = IsAmongKeepers(candidates, m_self_index);
   const bool may_decide = is_keeper && KnowsAllFlows(context, group);
-  const bool may_pass_on = context.hops < kMaxRelayHops;
+  const bool may_pass_on = context.relay.hops < kMaxRelayHops;
   if (const auto previous = PreviousDecider(context);
       previous && may_decide && may_pass_on) {
     return Relay(context, *previous, RelayPurpose::kResolve, kNoUpstream,
@@ -330,7 +331,7 @@
   }
   const DecisionCause cause =
       is_opening ? DecisionCause::kFirstPacket : DecisionCause::kRecord;
-  if (other == kNobody || context.hops >= kMaxRelayHops) {
+  if (other == kNobody || context.relay.hops >= kMaxRelayHops) {
     return Forward(context, upstream, cause);
   }
   Decision decision = RelayRecord(context, static_cast<MemberIndex>(other),
@@ -376,7 +377,7 @@
                         found.deadline > context.now + lifetime - lifetime / 4;
   const bool has_backup =
       record.backup_tag == TagOf(OtherKeeper(context, group));
-  if ((is_fresh && has_backup) || context.hops >= kMaxRelayHops) {
+  if ((is_fresh && has_backup) || context.relay.hops >= kMaxRelayHops) {
     return Forward(context, record.upstream, DecisionCause::kRecord);
   }
   const auto candidates = Candidates(context, group);
@@ -392,7 +393,7 @@
 
 // No record here: asks the next host that may have one.
 Decision Router::AskOnward(const Context& context) const {
-  if (context.hops >= kMaxRelayHops) {
+  if (context.relay.hops >= kMaxRelayHops) {
     return ForwardToBase(context);
   }
   const uint32_t searched = SearchedStages(context);
@@ -412,49 +413,38 @@
 }
 
 bool Router::WasVisited(const Context& context, MemberIndex host) const {
-  const auto& visited = context.visited;
+  const auto& visited = context.relay.visited;
   return std::find(visited.begin(), visited.end(), m_members->TagOf(host)) !=
          visited.end();
 }
 
-GroupIndex Router::GroupOf(const Context& context, UpstreamId upstream) const {
-  const PlannedUpstream* planned = context.plan.FindUpstream(upstream);
-  if (planned == nullptr) {
-    return 0;
-  }
-  return context.groups[planned - context.plan.upstreams().data()];
-}
-
 // The link whose keepers decide on first packets: the newest that is active.
 // Where none is, the bucket's base takes new flows, and the first link's
 // keepers record them for repeats that come after its activation.
-const BucketLink& Router::DecidingLink(const Context& context) const {
-  const auto links = context.plan.Links(context.bucket);
+size_t Router::DecidingLink(const Context& context) const {
   size_t index = 0;
-  while (index + 1 < links.size() &&
-         links[index + 1].active_from <= context.now) {
+  while (index + 1 < context.links.size() &&
+         context.links[index + 1].active_from <= context.now) {
     ++index;
   }
-  return links[index];
+  return index;
 }
 
 GroupIndex Router::DecidingGroup(const Context& context) const {
-  return GroupOf(context, DecidingLink(context).upstream);
+  return context.link_groups[DecidingLink(context)];
 }
 
 // A keeper that decided until a short while ago and was not asked yet: the
 // packet may repeat one that it recorded.
 std::optional<MemberIndex> Router::PreviousDecider(
     const Context& context) const {
-  const auto links = context.plan.Links(context.bucket);
-  const BucketLink& deciding = DecidingLink(context);
+  const size_t deciding = DecidingLink(context);
   const bool is_settled =
-      deciding.active_from + kFirstPacketRepeat <= context.now;
-  if (is_settled || &deciding == &links.front()) {
+      context.links[deciding].active_from + kFirstPacketRepeat <= context.now;
+  if (is_settled || deciding == 0) {
     return std::nullopt;
   }
-  const BucketLink& previous = *(&deciding - 1);
-  const auto keepers = Candidates(context, GroupOf(context, previous.upstream));
+  const auto keepers = Candidates(context, context.link_groups[deciding - 1]);
   const bool is_other = !keepers.empty() && keepers[0] != m_self_index &&
                         !WasVisited(context, keepers[0]);
   return is_other ? std::optional(keepers[0]) : std::nullopt;
@@ -462,12 +452,11 @@
 
 Router::Stages Router::StagesOf(const Context& context) const {
   Stages stages;
-  const auto links = context.plan.Links(context.bucket);
-  for (auto link = links.rbegin(); link != links.rend(); ++link) {
-    if (link->upstream == kNoUpstream) {
+  for (size_t i = context.links.size(); i > 0; --i) {
+    if (context.links[i - 1].upstream == kNoUpstream) {
       continue;
     }
-    const GroupIndex group = GroupOf(context, link->upstream);
+    const GroupIndex group = context.link_groups[i - 1];
     if (std::find(stages.begin(), stages.end(), group) == stages.end()) {
       stages.push_back(group);
     }
@@ -496,7 +485,7 @@
 }
 
 bool Router::WasSearched(const Context& context, GroupIndex group) const {
-  const auto& searched = context.searched;
+  const auto& searched = context.relay.searched;
   return std::find(searched.begin(), searched.end(),
                    m_members->DomainTagOf(group)) != searched.end();
 }
@@ -538,8 +527,7 @@
   if (since + kIdleTimeout <= context.now) {
     return true;
   }
-  return since + kMembershipSettle <=
-         context.plan.Links(context.bucket).front().announced_at;
+  return since + kMembershipSettle <= context.links.front().announced_at;
 }
 
 // The newest of the bucket's groups in which this host is a keeper, else in
@@ -620,14 +608,14 @@
   decision.cause = cause;
   decision.next_host = host;
   decision.header = {.purpose = purpose,
-                     .hops = static_cast<uint8_t>(context.hops + 1),
+                     .hops = static_cast<uint8_t>(context.relay.hops + 1),
                      .phase = phase,
                      .generation = context.plan.generation(),
                      .upstream = upstream,
-                     .visited = context.visited,
-                     .searched = context.searched};
-  if (context.hops < kMaxRelayHops) {
-    decision.header.visited[context.hops] = m_self_tag;
+                     .visited = context.relay.visited,
+                     .searched = context.relay.searched};
+  if (context.relay.hops < kMaxRelayHops) {
+    decision.header.visited[context.relay.hops] = m_self_tag;
   }
   return decision;
 }
--- a/src/libs/steering/router.h
+++ b/src/libs/steering/router.h
@@ -129,20 +129,21 @@
   struct Entry {
     ServicePlanPtr plan;
     uint64_t service_hash = 0;
-    // The keepers' group of each of the plan's upstreams.
-    std::vector<GroupIndex> groups;
+    // The keepers' group of each of the plan's links.
+    std::vector<GroupIndex> link_groups;
   };
   // One packet on its way through the decision.
   struct Context {
     const ServicePlan& plan;
-    const std::vector<GroupIndex>& groups;
+    // The bucket's links and the keepers' group of each.
+    std::span<const BucketLink> links;
+    const GroupIndex* link_groups = nullptr;
     const PacketSummary& packet;
     uint64_t hash = 0;
     uint32_t bucket = 0;
     uint32_t slot = 0;
-    uint8_t hops = 0;
-    std::array<HostTag, kMaxRelayHops> visited{};
-    std::array<DomainTag, kMaxSearchedDomains> searched{};
+    // Of the host that passed the packet on; empty from the fabric.
+    const RelayHeader& relay;
     TimePoint now;
   };
   // Groups of the bucket's links without repetition, newest first.
@@ -177,14 +178,13 @@
   std::optional<FoundRecord> FindRecord(const Context& context) const;
 
   bool WasVisited(const Context& context, MemberIndex host) const;
-  GroupIndex GroupOf(const Context& context, UpstreamId upstream) const;
   Stages StagesOf(const Context& context) const;
   Path BuildPath(const Context& context) const;
   std::span<const MemberIndex> Candidates(const Context& context,
                                           GroupIndex group) const {
     return m_members->Candidates(group, context.slot);
   }
-  const BucketLink& DecidingLink(const Context& context) const;
+  size_t DecidingLink(const Context& context) const;
   GroupIndex DecidingGroup(const Context& context) const;
   std::optional<MemberIndex> PreviousDecider(const Context& context) const;
   bool WasSearched(const Context& context, GroupIndex group) const;
--- a/src/libs/steering/service_plan.h
+++ b/src/libs/steering/service_plan.h
@@ -88,6 +88,9 @@
     const size_t first = m_link_offsets[bucket];
     return {m_links.data() + first, m_link_offsets[bucket + 1] - first};
   }
+  // Position of the bucket's first link among all links of the plan.
+  size_t FirstLink(uint32_t bucket) const { return m_link_offsets[bucket]; }
+  std::span<const BucketLink> AllLinks() const { return m_links; }
   BucketChain Chain(uint32_t bucket) const;
   // The owner of new flows at time `now`; kNoUpstream while none may take them.
   UpstreamId OwnerOfNewFlows(uint32_t bucket, TimePoint now) const;
