--- a/src/libs/dispatch/dispatcher.cc
+++ b/src/libs/dispatch/dispatcher.cc
@@ -33,6 +33,7 @@
                                          std::vector<RequestUpstream> upstreams,
                                          TimePoint now) {
   ServiceState& state = m_services[service];
+  state.is_removed = false;
   for (auto& [name, upstream] : state.upstreams) {
     upstream.is_listed = false;
   }
@@ -68,9 +69,7 @@
   for (const RequestId id : queue) {
     Refuse(id, RefusalCause::kNoSuchService, &actions);
   }
-  if (state.upstreams.empty()) {
-    m_services.erase(service);
-  }
+  state.is_removed = true;
   return actions;
 }
 
@@ -82,7 +81,7 @@
     Refuse(request.id, RefusalCause::kStopping, &actions);
     return actions;
   }
-  if (service == m_services.end()) {
+  if (service == m_services.end() || service->second.is_removed) {
     Refuse(request.id, RefusalCause::kNoSuchService, &actions);
     return actions;
   }
@@ -253,6 +252,9 @@
   for (auto& [name, service] : m_services) {
     StartQueued(name, now, &actions);
   }
+  std::erase_if(m_services, [](const auto& item) {
+    return item.second.is_removed && item.second.upstreams.empty();
+  });
   return actions;
 }
 
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -123,6 +123,8 @@
     std::map<std::string, UpstreamState> upstreams;
     std::deque<RequestId> queue;
     RetryBudget budget;
+    // Kept until its running requests have ended.
+    bool is_removed = false;
   };
   struct RequestState {
     RequestInfo info;
--- /dev/null
+++ b/tests/auto/transport/tst_http2.cc
@@ -0,0 +1,205 @@
+#include <catch2/catch.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <optional>
+
+#include "transport/transport.h"
+
+namespace poplarsail::transport {
+namespace {
+
+using boost::asio::ip::tcp;
+
+// Runs the context until the condition holds.
+void RunUntil(boost::asio::io_context* context,
+              const std::function<bool()>& condition) {
+  while (!condition()) {
+    context->restart();
+    REQUIRE(context->run_one() > 0);
+  }
+}
+
+// A client and a server on one context, joined by a loopback connection.
+struct Pair {
+  Pair() {
+    tcp::acceptor acceptor(context,
+                           {boost::asio::ip::make_address("127.0.0.1"), 0});
+    tcp::socket near(context);
+    near.connect(acceptor.local_endpoint());
+    server = Http2Connection::CreateServer(acceptor.accept(), {});
+    client = Http2Connection::CreateClient(std::move(near), {});
+  }
+
+  void Start(Http2Connection::RequestHandler on_request) {
+    server->OnRequest(std::move(on_request));
+    server->Start();
+    client->Start();
+  }
+
+  // Runs until the exchange ended.
+  Exchange Await(HttpMessage request) {
+    std::optional<Exchange> result;
+    const auto stream =
+        client->Send(std::move(request),
+                     [&](Exchange exchange) { result = std::move(exchange); });
+    REQUIRE(stream != 0);
+    RunUntil(&context, [&] { return result.has_value(); });
+    return *result;
+  }
+
+  boost::asio::io_context context;
+  std::shared_ptr<Http2Connection> server;
+  std::shared_ptr<Http2Connection> client;
+};
+
+HttpMessage Request(const std::string& path, std::string body = "") {
+  return {{{":method", "POST"},
+           {":scheme", "http"},
+           {":authority", "tally"},
+           {":path", path}},
+          std::move(body)};
+}
+
+TEST_CASE("an exchange ends with what the server did") {
+  struct Case {
+    std::string path;
+    ExchangeResult expected;
+  };
+  const std::vector<Case> cases = {
+      {"/answer", ExchangeResult::kAnswered},
+      {"/refuse", ExchangeResult::kNotRun},
+      {"/close", ExchangeResult::kUnknown},
+  };
+  for (const Case& item : cases) {
+    INFO(item.path);
+    Pair pair;
+    pair.Start([&](Http2Connection::StreamId stream, HttpMessage request) {
+      const auto path = FindHeader(request, ":path");
+      if (path == "/answer") {
+        pair.server->Answer(stream, {{{":status", "200"}}, request.body});
+      } else if (path == "/refuse") {
+        pair.server->Refuse(stream);
+      } else {
+        pair.server->Close();
+      }
+    });
+    const Exchange exchange = pair.Await(Request(item.path, "entry"));
+    CHECK(exchange.result == item.expected);
+    const bool is_answered = item.expected == ExchangeResult::kAnswered;
+    CHECK(exchange.answer.body == (is_answered ? "entry" : ""));
+  }
+}
+
+TEST_CASE("answers that cross reach their own requests") {
+  Pair pair;
+  std::vector<std::pair<Http2Connection::StreamId, std::string>> held;
+  pair.Start([&](Http2Connection::StreamId stream, HttpMessage request) {
+    held.emplace_back(stream, request.body);
+    if (held.size() < 20) {
+      return;
+    }
+    for (auto item = held.rbegin(); item != held.rend(); ++item) {
+      pair.server->Answer(item->first, {{{":status", "200"}}, item->second});
+    }
+  });
+  int right = 0;
+  for (int i = 0; i < 20; ++i) {
+    const std::string body = "entry " + std::to_string(i);
+    pair.client->Send(Request("/", body), [&right, body](Exchange exchange) {
+      right += exchange.answer.body == body ? 1 : 0;
+    });
+  }
+  RunUntil(&pair.context, [&] { return right == 20; });
+  CHECK(right == 20);
+}
+
+TEST_CASE("a large body arrives whole and one over the limit does not") {
+  Pair pair;
+  pair.Start([&](Http2Connection::StreamId stream, HttpMessage request) {
+    pair.server->Answer(stream, {{{":status", "200"}}, request.body});
+  });
+  const std::string large(500'000, 'x');
+  CHECK(pair.Await(Request("/", large)).answer.body == large);
+  const std::string too_large((1 << 20) + 1, 'x');
+  CHECK(pair.Await(Request("/", too_large)).result == ExchangeResult::kUnknown);
+}
+
+TEST_CASE("a graceful shutdown finishes open requests and refuses later ones") {
+  Pair pair;
+  Http2Connection::StreamId held = 0;
+  pair.Start([&](Http2Connection::StreamId stream, HttpMessage) {
+    held = stream;
+    pair.server->ShutDownGracefully();
+  });
+  std::optional<Exchange> first;
+  pair.client->Send(Request("/held"),
+                    [&](Exchange exchange) { first = std::move(exchange); });
+  RunUntil(&pair.context, [&] { return pair.client->is_going_away(); });
+  CHECK(pair.client->Send(Request("/late"), [](Exchange) {}) == 0);
+  pair.server->Answer(held, {{{":status", "200"}}, "whole"});
+  RunUntil(&pair.context, [&] { return first.has_value(); });
+  CHECK(first->result == ExchangeResult::kAnswered);
+  CHECK(first->answer.body == "whole");
+}
+
+TEST_CASE("a caller that gives up is heard") {
+  Pair pair;
+  Http2Connection::StreamId cancelled = 0;
+  pair.server->OnCancel(
+      [&](Http2Connection::StreamId stream) { cancelled = stream; });
+  Http2Connection::StreamId stream = 0;
+  pair.Start([&](Http2Connection::StreamId, HttpMessage) {
+    pair.client->Cancel(stream);
+  });
+  std::optional<Exchange> result;
+  stream = pair.client->Send(
+      Request("/"), [&](Exchange exchange) { result = std::move(exchange); });
+  RunUntil(&pair.context, [&] { return cancelled != 0 && result; });
+  CHECK(cancelled == stream);
+  CHECK(result->result == ExchangeResult::kUnknown);
+}
+
+TEST_CASE("a connection that went silent ends its requests as unknown") {
+  boost::asio::io_context context;
+  tcp::acceptor acceptor(context,
+                         {boost::asio::ip::make_address("127.0.0.1"), 0});
+  tcp::socket near(context);
+  near.connect(acceptor.local_endpoint());
+  const tcp::socket silent = acceptor.accept();
+  const auto client = Http2Connection::CreateClient(std::move(near), {});
+  client->Start();
+  std::optional<Exchange> result;
+  client->Send(Request("/"),
+               [&](Exchange exchange) { result = std::move(exchange); });
+  client->Ping(std::chrono::milliseconds(20));
+  RunUntil(&context, [&] { return result.has_value(); });
+  CHECK(result->result == ExchangeResult::kUnknown);
+  CHECK_FALSE(client->is_open());
+}
+
+TEST_CASE("bytes that are no HTTP/2 close their connection only") {
+  Pair pair;
+  bool closed = false;
+  pair.server->OnClosed([&] { closed = true; });
+  tcp::acceptor acceptor(pair.context,
+                         {boost::asio::ip::make_address("127.0.0.1"), 0});
+  tcp::socket wild(pair.context);
+  wild.connect(acceptor.local_endpoint());
+  const auto attacked = Http2Connection::CreateServer(acceptor.accept(), {});
+  bool attacked_closed = false;
+  attacked->OnClosed([&] { attacked_closed = true; });
+  attacked->Start();
+  boost::asio::write(wild, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n"
+                                                           "\r\n garbage")));
+  RunUntil(&pair.context, [&] { return attacked_closed; });
+  pair.Start([&](Http2Connection::StreamId stream, HttpMessage) {
+    pair.server->Answer(stream, {{{":status", "200"}}, "fine"});
+  });
+  CHECK(pair.Await(Request("/")).answer.body == "fine");
+  CHECK_FALSE(closed);
+}
+
+}  // namespace
+}  // namespace poplarsail::transport
