Steer flows without first-packet marks by the announcement

Cause: UDP marks no first packet, so a bucket in transition sent every unrecorded UDP flow to its old owner for good; a drained UDP service kept taking new flows. Change: while a change is announced, flows that send are recorded at their old owner; then unrecorded packets count as new, at once where the old owner drains and after 120 s where the bucket moved for balance.

--- a/src/libs/steering/flow_table.cc
+++ b/src/libs/steering/flow_table.cc
@@ -29,6 +29,8 @@
       return kIdleTimeout;
     case FlowPhase::kClosing:
       return kClosingTimeout;
+    case FlowPhase::kUnmarked:
+      return kUnmarkedTimeout;
   }
   return kIdleTimeout;
 }
--- a/src/libs/steering/flow_table.h
+++ b/src/libs/steering/flow_table.h
@@ -27,6 +27,8 @@
   kOpen,
   // Its caller ended it (TCP with FIN or RST).
   kClosing,
+  // Its protocol marks neither first nor last packets (UDP).
+  kUnmarked,
 };
 
 // How long a record is kept after a packet of a flow in this phase.
--- a/src/libs/steering/relay_header.cc
+++ b/src/libs/steering/relay_header.cc
@@ -57,9 +57,6 @@
     return std::nullopt;
   }
   const uint8_t phase = datagram[3] & kPhaseMask;
-  if (phase > static_cast<uint8_t>(FlowPhase::kClosing)) {
-    return std::nullopt;
-  }
   RelayHeader header{
       .purpose = purpose,
       .hops = datagram[2],
--- a/src/libs/steering/router.cc
+++ b/src/libs/steering/router.cc
@@ -21,6 +21,9 @@
 
 // A packet that is not the first shows that the flow is open.
 FlowPhase PhaseAfter(FlowPhase phase, const PacketSummary& packet) {
+  if (!packet.marks_first) {
+    return FlowPhase::kUnmarked;
+  }
   if (packet.is_last || phase == FlowPhase::kClosing) {
     return FlowPhase::kClosing;
   }
@@ -247,7 +250,7 @@
     return Forward(context, found_record->record.upstream,
                    DecisionCause::kRecord);
   }
-  return AskOnward(context);
+  return AskOnward(context).value_or(ForwardToBase(context));
 }
 
 void Router::NoteGeneration(const ServicePlan& plan, const RelayHeader* relay) {
@@ -263,7 +266,11 @@
   if (const auto found = FindRecord(context)) {
     return ForwardRecorded(context, *found);
   }
-  return AskOnward(context);
+  if (const auto decision = AskOnward(context)) {
+    return *decision;
+  }
+  return context.packet.marks_first ? ForwardToBase(context)
+                                    : DecideUnmarked(context);
 }
 
 std::optional<FoundRecord> Router::FindRecord(const Context& context) const {
@@ -307,11 +314,48 @@
   if (upstream == kNoUpstream) {
     return Drop(DropReason::kNoServingUpstream);
   }
-  if (is_keeper || candidates.empty()) {
-    return RecordAndPassOn(context, group, upstream, FlowPhase::kOpening);
+  return RecordNew(context, upstream, FlowPhase::kOpening);
+}
+
+// Nobody recorded the flow of a packet without marks: it may be old or new.
+Decision Router::DecideUnmarked(const Context& context) {
+  const UpstreamId upstream = OwnerOfUnmarked(context);
+  if (upstream == kNoUpstream) {
+    return Drop(DropReason::kNoServingUpstream);
+  }
+  return RecordNew(context, upstream, FlowPhase::kUnmarked);
+}
+
+// While a change is announced, flows that send are recorded at their old owner.
+// Then an unrecorded packet counts as new: at once where the owner before
+// drains, after a quiet time where the bucket moved for balance.
+UpstreamId Router::OwnerOfUnmarked(const Context& context) const {
+  const size_t deciding = DecidingLink(context);
+  const UpstreamId before = deciding == 0
+                                ? context.plan.Base(context.bucket)
+                                : context.links[deciding - 1].upstream;
+  const PlannedUpstream* planned =
+      context.plan.FindPresent(before, context.now);
+  const bool moved_for_balance = planned != nullptr && planned->weight > 0;
+  const bool is_quiet_time =
+      context.now < context.links[deciding].active_from + kUnmarkedQuiet;
+  if (moved_for_balance && is_quiet_time) {
+    return before;
+  }
+  return context.plan.OwnerOfNewFlows(context.bucket, context.now);
+}
+
+// Records a flow that began here at the keepers of the deciding link.
+Decision Router::RecordNew(const Context& context,
+                           UpstreamId upstream,
+                           FlowPhase phase) {
+  const GroupIndex group = DecidingGroup(context);
+  const auto candidates = Candidates(context, group);
+  if (candidates.empty() || IsAmongKeepers(candidates, m_self_index)) {
+    return RecordAndPassOn(context, group, upstream, phase);
   }
   return RelayRecord(context, candidates[0], group,
-                     {context.hash, upstream, FlowPhase::kOpening, 0},
+                     {context.hash, upstream, phase, 0},
                      DecisionCause::kFirstPacket);
 }
 
@@ -325,7 +369,8 @@
   const FlowRecord record{context.hash, upstream, phase, TagOf(other)};
   const InsertResult result =
       m_flows.Insert(record, context.now + LifetimeOf(phase), context.now);
-  const bool is_opening = phase == FlowPhase::kOpening;
+  const bool is_opening =
+      phase == FlowPhase::kOpening || phase == FlowPhase::kUnmarked;
   if (result == InsertResult::kFull && is_opening) {
     return ForwardUnrecorded(context);
   }
@@ -392,9 +437,9 @@
 }
 
 // No record here: asks the next host that may have one.
-Decision Router::AskOnward(const Context& context) const {
+std::optional<Decision> Router::AskOnward(const Context& context) const {
   if (context.relay.hops >= kMaxRelayHops) {
-    return ForwardToBase(context);
+    return std::nullopt;
   }
   const uint32_t searched = SearchedStages(context);
   for (const PathStep& step : BuildPath(context)) {
@@ -409,7 +454,7 @@
     NoteSearched(context, &decision.header);
     return decision;
   }
-  return ForwardToBase(context);
+  return std::nullopt;
 }
 
 bool Router::WasVisited(const Context& context, MemberIndex host) const {
--- a/src/libs/steering/router.h
+++ b/src/libs/steering/router.h
@@ -174,7 +174,13 @@
   Decision ForwardUnrecorded(const Context& context) const;
   Decision StoreCopy(const Context& context, const RelayHeader& header);
   Decision ForwardRecorded(const Context& context, const FoundRecord& found);
-  Decision AskOnward(const Context& context) const;
+  // Nothing where no further host may have a record.
+  std::optional<Decision> AskOnward(const Context& context) const;
+  Decision DecideUnmarked(const Context& context);
+  Decision RecordNew(const Context& context,
+                     UpstreamId upstream,
+                     FlowPhase phase);
+  UpstreamId OwnerOfUnmarked(const Context& context) const;
   std::optional<FoundRecord> FindRecord(const Context& context) const;
 
   bool WasVisited(const Context& context, MemberIndex host) const;
--- a/src/libs/steering/steering_constants.h
+++ b/src/libs/steering/steering_constants.h
@@ -44,6 +44,12 @@
 // A record of a flow that was closed by its caller is kept this long after
 // its last packet.
 inline constexpr std::chrono::milliseconds kClosingTimeout{30'000};
+// A record of a flow without marks (UDP) is kept this long after its last
+// packet.
+inline constexpr std::chrono::milliseconds kUnmarkedTimeout{300'000};
+// After a bucket moved for balance, unrecorded packets without marks belong to
+// the owner before for this long.
+inline constexpr std::chrono::milliseconds kUnmarkedQuiet{120'000};
 // A record of a flow without packets is kept this long.
 inline constexpr std::chrono::milliseconds kIdleTimeout{8 * 3'600'000};
 
--- a/tests/auto/steering/tst_router.cc
+++ b/tests/auto/steering/tst_router.cc
@@ -154,6 +154,64 @@
   }
 }
 
+// UDP: old and new flows look alike; what shows while a change is announced is
+// old.
+TEST_CASE("a flow without marks stays if it sent during the announcement") {
+  Router router = MakeRouter(1'024);
+  ServiceGoal goal = GoalOf(1, 3);
+  goal.protocol = model::Protocol::kUdp;
+  const auto first = NextPlan(nullptr, goal, At(kStart));
+  goal.upstreams[0].weight = 0;
+  const auto plan =
+      std::make_shared<const ServicePlan>(*NextPlan(&*first, goal, At(kStart)));
+  router.SetPlan(plan);
+  const auto udp = [&plan](uint32_t from) {
+    for (uint32_t flow = from;; ++flow) {
+      PacketSummary packet = Packet(*plan, flow, false);
+      packet.key.protocol = kProtocolUdp;
+      packet.marks_first = false;
+      const uint64_t hash = HashFlow(packet.key, plan->hash_seed());
+      if (!plan->Links(plan->BucketOf(hash)).empty()) {
+        return packet;
+      }
+    }
+  };
+  const PacketSummary sent_before = udp(0);
+  const PacketSummary silent = udp(1'000);
+  router.Decide(sent_before, nullptr, kStart + std::chrono::seconds(1));
+  const TimePoint active = kStart + kAnnounce;
+  CHECK(router.Decide(sent_before, nullptr, active).upstream->name == "s1-0");
+  const auto moved = router.Decide(silent, nullptr, active);
+  CHECK(moved.upstream->name != "s1-0");
+  CHECK(router.Decide(silent, nullptr, active).upstream == moved.upstream);
+}
+
+TEST_CASE("a flow without marks stays for a while when its bucket balances") {
+  Router router = MakeRouter(1'024);
+  ServiceGoal goal = GoalOf(1, 1);
+  goal.protocol = model::Protocol::kUdp;
+  const auto first = NextPlan(nullptr, goal, At(kStart));
+  ServiceGoal larger = GoalOf(1, 2);
+  larger.protocol = model::Protocol::kUdp;
+  const auto plan = std::make_shared<const ServicePlan>(
+      *NextPlan(&*first, larger, At(kStart)));
+  router.SetPlan(plan);
+  PacketSummary packet;
+  for (uint32_t flow = 0;; ++flow) {
+    packet = Packet(*plan, flow, false);
+    packet.key.protocol = kProtocolUdp;
+    packet.marks_first = false;
+    const uint64_t hash = HashFlow(packet.key, plan->hash_seed());
+    if (!plan->Links(plan->BucketOf(hash)).empty()) {
+      break;
+    }
+  }
+  const TimePoint active = kStart + kAnnounce;
+  const auto quiet = active + kUnmarkedQuiet;
+  CHECK(router.Explain(packet, active).upstream->name == "s1-0");
+  CHECK(router.Decide(packet, nullptr, quiet).upstream->name == "s1-1");
+}
+
 TEST_CASE("a flood of first packets breaks no open flow") {
   constexpr uint32_t kOpenFlows = 500;
   constexpr uint32_t kFlood = 200'000;
