--- a/src/libs/control/config_state.cc
+++ b/src/libs/control/config_state.cc
@@ -78,7 +78,12 @@
     return ApplyResult::kInvalid;
   }
   m_refused.erase(object.key);
-  m_objects[object.key] = object;
+  Object& kept = m_objects[object.key];
+  kept = object;
+  if (object.key.kind == model::kPlanKind) {
+    // The plan itself is kept in its compact form.
+    kept.spec = nlohmann::json::object();
+  }
   ++m_change_count;
   return ApplyResult::kApplied;
 }
--- a/src/libs/control/config_state.h
+++ b/src/libs/control/config_state.h
@@ -59,7 +59,8 @@
     return m_plans;
   }
   bool IsDomainOut(const std::string& failure_domain) const;
-  // The stored object, for conditional writes; null where there is none.
+  // The stored object, for conditional writes; null where there is none. The
+  // spec of a Plan is left out, see plans().
   const model::Object* FindObject(const model::ObjectKey& key) const;
 
   // What the resources ask of a service's steering. Upstreams of domains that
--- a/src/libs/control/plan_keeper.cc
+++ b/src/libs/control/plan_keeper.cc
@@ -1,23 +1,39 @@
 #include "control/plan_keeper.h"
 
+#include <utility>
+
 #include <xxhash.h>
 
 namespace poplarsail::control {
 
-bool IsPlanner(const std::string& self,
-               const std::string& service,
-               const std::vector<std::string>& live_hosts) {
+namespace {
+
+uint64_t HashName(const std::string& name) {
+  return XXH3_64bits(name.data(), name.size());
+}
+
+}  // namespace
+
+PlannerChoice::PlannerChoice(std::vector<std::string> live_hosts)
+    : m_live_hosts(std::move(live_hosts)) {
+  for (const std::string& host : m_live_hosts) {
+    m_host_hashes.push_back(HashName(host));
+  }
+}
+
+const std::string& PlannerChoice::PlannerOf(const std::string& service) const {
+  static const std::string nobody;
+  const uint64_t service_hash = HashName(service);
   uint64_t best_score = 0;
-  const std::string* best = nullptr;
-  for (const std::string& host : live_hosts) {
-    const std::string input = service + "\n" + host;
-    const uint64_t score = XXH3_64bits(input.data(), input.size());
-    if (best == nullptr || score > best_score) {
-      best = &host;
+  const std::string* best = &nobody;
+  for (size_t i = 0; i < m_live_hosts.size(); ++i) {
+    const uint64_t score = steering::MixHashes(m_host_hashes[i], service_hash);
+    if (best == &nobody || score > best_score) {
+      best = &m_live_hosts[i];
       best_score = score;
     }
   }
-  return best != nullptr && *best == self;
+  return *best;
 }
 
 std::optional<model::Object> NextPlanObject(
--- a/src/libs/control/plan_keeper.h
+++ b/src/libs/control/plan_keeper.h
@@ -8,11 +8,20 @@
 
 namespace poplarsail::control {
 
-// Whether the entry host `self` computes the plans of a service (rendezvous
+// Chooses the entry host that computes the plans of a service (rendezvous
 // hashing). Two planners at once do no harm: plans are written conditionally.
-bool IsPlanner(const std::string& self,
-               const std::string& service,
-               const std::vector<std::string>& live_hosts);
+class PlannerChoice {
+ public:
+  explicit PlannerChoice(std::vector<std::string> live_hosts);
+
+  // Returns an empty text without live hosts.
+  const std::string& PlannerOf(const std::string& service) const;
+  const std::vector<std::string>& live_hosts() const { return m_live_hosts; }
+
+ private:
+  std::vector<std::string> m_live_hosts;
+  std::vector<uint64_t> m_host_hashes;
+};
 
 // The Plan object that the configuration asks for, ready to be written with
 // the version that it follows; nothing where the present one fits.
--- a/src/libs/runtime/control_duty.cc
+++ b/src/libs/runtime/control_duty.cc
@@ -151,34 +151,49 @@
     return;
   }
   m_next_plan_check = Now() + kPlanCheckInterval;
-  const auto live_hosts = m_config.LiveHosts();
+  ChoosePlannedServices();
+  for (const std::string& name : m_planned_services) {
+    PlanService(m_config.services().at(name));
+  }
+}
+
+void ControlDuty::ChoosePlannedServices() {
+  if (m_planned_at_change == m_config.change_count()) {
+    return;
+  }
+  m_planned_at_change = m_config.change_count();
+  m_planned_services.clear();
+  const control::PlannerChoice choice(m_config.LiveHosts());
   for (const auto& [name, service] : m_config.services()) {
-    if (service.mode != model::ServiceMode::kPackets ||
-        !control::IsPlanner(m_settings.host_name, name, live_hosts)) {
-      continue;
-    }
-    const TimePoint now = Now();
-    const auto object = control::NextPlanObject(
-        m_config, service, m_random(),
-        {now, now + std::chrono::milliseconds(m_settings.announce_ms),
-         now + std::chrono::milliseconds(m_settings.leave_ms)});
-    if (!object) {
-      continue;
-    }
-    try {
-      const model::Object stored =
-          objects::PutResolved(m_store.get(), *object, kMaxReadBacks);
-      m_config.Apply({objects::WatchEventType::kPut, stored});
-      m_counters->Add(kPlanWritten);
-      Log(LogLevel::kInfo, "control", "a steering plan was written",
-          {{"object", "Plan/" + name},
-           {"generation", stored.spec.at("generation").dump()}});
-    } catch (const objects::ConflictError&) {
-      m_counters->Add(kPlanConflict);
+    if (service.mode == model::ServiceMode::kPackets &&
+        choice.PlannerOf(name) == m_settings.host_name) {
+      m_planned_services.push_back(name);
     }
   }
 }
 
+void ControlDuty::PlanService(const model::Service& service) {
+  const TimePoint now = Now();
+  const auto object = control::NextPlanObject(
+      m_config, service, m_random(),
+      {now, now + std::chrono::milliseconds(m_settings.announce_ms),
+       now + std::chrono::milliseconds(m_settings.leave_ms)});
+  if (!object) {
+    return;
+  }
+  try {
+    const model::Object stored =
+        objects::PutResolved(m_store.get(), *object, kMaxReadBacks);
+    m_config.Apply({objects::WatchEventType::kPut, stored});
+    m_counters->Add(kPlanWritten);
+    Log(LogLevel::kInfo, "control", "a steering plan was written",
+        {{"object", "Plan/" + service.name},
+         {"generation", stored.spec.at("generation").dump()}});
+  } catch (const objects::ConflictError&) {
+    m_counters->Add(kPlanConflict);
+  }
+}
+
 void ControlDuty::PublishPlans() {
   for (const auto& [name, plan] : m_config.plans()) {
     const auto published = m_published_plans.find(name);
--- a/src/libs/runtime/control_duty.h
+++ b/src/libs/runtime/control_duty.h
@@ -41,6 +41,8 @@
   void NoteStoreFailure(const std::string& reason);
   void Reconcile();
   void PlanServices();
+  void ChoosePlannedServices();
+  void PlanService(const model::Service& service);
   void PublishPlans();
   void PublishMembers();
   void PublishRequestUpstreams();
@@ -62,6 +64,9 @@
   model::TimePoint m_next_status_attempt;
   uint64_t m_reconciled_change = 0;
   bool m_store_is_up = true;
+  // The services that this host plans, as of that change.
+  std::vector<std::string> m_planned_services;
+  uint64_t m_planned_at_change = 0;
   std::map<std::string, uint32_t> m_published_plans;
   std::shared_ptr<const MemberList> m_published_members;
   // When this host keeps flow records, as announced in its status.
--- a/src/libs/steering/flow_key.h
+++ b/src/libs/steering/flow_key.h
@@ -29,6 +29,14 @@
 // choose ports that all fall into one bucket.
 uint64_t HashFlow(const FlowKey& key, uint64_t seed);
 
+// Mixes two well-spread hashes into one (finalizer of splitmix64).
+constexpr uint64_t MixHashes(uint64_t a, uint64_t b) {
+  uint64_t x = a ^ (b * 0x9e3779b97f4a7c15ULL);
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
 }  // namespace poplarsail::steering
 
 #endif  // STEERING_FLOW_KEY_H_
--- a/src/libs/steering/flow_table.cc
+++ b/src/libs/steering/flow_table.cc
@@ -1,6 +1,5 @@
 #include "steering/flow_table.h"
 
-#include <bit>
 #include <utility>
 
 #include "steering/steering_constants.h"
@@ -11,7 +10,7 @@
 
 constexpr int64_t kTickMillis = 4'000;
 // At this share of the places, a pair of full sets is still rare.
-constexpr size_t kFillPercent = 70;
+constexpr size_t kFillPercent = 60;
 
 // Rounds up, so that a deadline is never cut short.
 uint16_t ToTicks(TimePoint time) {
@@ -37,8 +36,7 @@
 
 FlowTable::FlowTable(size_t capacity) : m_capacity(capacity) {
   const size_t places = capacity * 100 / kFillPercent + kWays;
-  m_sets.resize(std::bit_ceil(places / kWays));
-  m_mask = m_sets.size() - 1;
+  m_sets.resize(places / kWays);
 }
 
 bool FlowTable::IsLive(const Entry& entry, TimePoint now) {
@@ -54,8 +52,8 @@
 }
 
 const FlowTable::Entry* FlowTable::FindEntry(uint64_t hash) const {
-  const std::array<const Set*, 2> sets = {&m_sets[hash & m_mask],
-                                          &m_sets[(hash >> 32) & m_mask]};
+  const std::array<const Set*, 2> sets = {&m_sets[FirstSet(hash)],
+                                          &m_sets[SecondSet(hash)]};
   // Both are likely to be far away: fetches the second while reading the first.
   __builtin_prefetch(sets[1]);
   for (const Set* set : sets) {
@@ -107,8 +105,8 @@
   }
   size_t first_free = 0;
   size_t second_free = 0;
-  Entry* first = FindFree(FirstSet(record.hash), now, &first_free);
-  Entry* second = FindFree(SecondSet(record.hash), now, &second_free);
+  Entry* first = FindFree(m_sets[FirstSet(record.hash)], now, &first_free);
+  Entry* second = FindFree(m_sets[SecondSet(record.hash)], now, &second_free);
   Entry* target = first_free >= second_free ? first : second;
   if (target == nullptr) {
     return InsertResult::kFull;
@@ -125,7 +123,7 @@
 
 void FlowTable::Sweep(size_t sets, TimePoint now) {
   for (size_t i = 0; i < sets; ++i) {
-    m_sweep_cursor = (m_sweep_cursor + 1) & m_mask;
+    m_sweep_cursor = (m_sweep_cursor + 1) % m_sets.size();
     for (Entry& entry : m_sets[m_sweep_cursor].entries) {
       if (!IsLive(entry, now)) {
         entry = Entry{};
--- a/src/libs/steering/flow_table.h
+++ b/src/libs/steering/flow_table.h
@@ -114,14 +114,18 @@
 
   static bool IsLive(const Entry& entry, TimePoint now);
   static FlowRecord ToRecord(const Entry& entry);
-  Set& FirstSet(uint64_t hash) { return m_sets[hash & m_mask]; }
-  Set& SecondSet(uint64_t hash) { return m_sets[(hash >> 32) & m_mask]; }
+  // The two sets of a hash, each from half of its bits.
+  size_t FirstSet(uint64_t hash) const {
+    return (hash & 0xffffffff) * m_sets.size() >> 32;
+  }
+  size_t SecondSet(uint64_t hash) const {
+    return (hash >> 32) * m_sets.size() >> 32;
+  }
   const Entry* FindEntry(uint64_t hash) const;
   Entry* FindEntry(uint64_t hash);
   Entry* FindFree(Set& set, TimePoint now, size_t* free_count);
 
   std::vector<Set, HugePageAllocator<Set>> m_sets;
-  uint64_t m_mask = 0;
   size_t m_capacity = 0;
   size_t m_sweep_cursor = 0;
 };
--- a/src/libs/steering/keeper_map.cc
+++ b/src/libs/steering/keeper_map.cc
@@ -8,18 +8,12 @@
 
 #include <xxhash.h>
 
+#include "steering/flow_key.h"
+
 namespace poplarsail::steering {
 
 namespace {
 
-// Finalizer of splitmix64: mixes two well-spread numbers cheaply.
-uint64_t Mix(uint64_t a, uint64_t b) {
-  uint64_t x = a ^ (b * 0x9e3779b97f4a7c15ULL);
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-  return x ^ (x >> 31);
-}
-
 using Scores =
     boost::container::small_vector<std::pair<uint64_t, MemberIndex>, 16>;
 
@@ -123,7 +117,7 @@
 }
 
 uint32_t KeeperMap::SlotOf(uint64_t service_hash, uint32_t bucket) {
-  return static_cast<uint32_t>(Mix(service_hash, bucket) % kKeeperSlots);
+  return static_cast<uint32_t>(MixHashes(service_hash, bucket) % kKeeperSlots);
 }
 
 // Chooses the candidates of all groups for one slot. A host's score is the same
@@ -132,7 +126,7 @@
   std::vector<Scores> best(m_groups.size());
   for (size_t i = 0; i < m_members.size(); ++i) {
     Scores& own = best[m_member_groups[i]];
-    KeepBest({Mix(m_member_hashes[i], slot), static_cast<MemberIndex>(i)},
+    KeepBest({MixHashes(m_member_hashes[i], slot), static_cast<MemberIndex>(i)},
              m_width, &own);
   }
   for (size_t group = 0; group < m_groups.size(); ++group) {
--- a/src/libs/steering/service_plan.h
+++ b/src/libs/steering/service_plan.h
@@ -76,7 +76,8 @@
   uint32_t bucket_count() const { return static_cast<uint32_t>(m_base.size()); }
 
   uint32_t BucketOf(uint64_t flow_hash) const {
-    return static_cast<uint32_t>(flow_hash >> 16) & (bucket_count() - 1);
+    // The low bits: the flow table chooses its sets by higher ones.
+    return static_cast<uint32_t>(flow_hash) & (bucket_count() - 1);
   }
   // The oldest owner, whether or not it has left.
   UpstreamId Base(uint32_t bucket) const { return m_base[bucket]; }
--- a/tests/auto/model/tst_settings.cc
+++ b/tests/auto/model/tst_settings.cc
@@ -1,5 +1,8 @@
 #include <catch2/catch.hpp>
 
+#include <fstream>
+#include <iterator>
+
 #include "model/model.h"
 
 namespace poplarsail::model {
@@ -46,5 +49,33 @@
   }
 }
 
+std::string ReadSourceFile(const std::string& path) {
+  std::ifstream file(std::string(POPLARSAIL_SOURCE_DIR) + "/" + path);
+  REQUIRE(file);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+TEST_CASE("the reference page lists every key with its default and meaning") {
+  const std::string page = ReadSourceFile("docs/settings.md");
+  for (const SettingKey& key : SettingKeys()) {
+    const std::string name = "`" + key.section + "." + key.name + "`";
+    const size_t row = page.find("| " + name + " |");
+    INFO(name);
+    REQUIRE(row != std::string::npos);
+    const std::string line = page.substr(row, page.find('\n', row) - row);
+    CHECK_THAT(line, Catch::Contains(key.description));
+    CHECK_THAT(line, Catch::Contains(key.fallback.empty() ? "required"
+                                                          : key.fallback));
+  }
+}
+
+TEST_CASE("the example file is good and names every key") {
+  const std::string example = ReadSourceFile("share/poplarsail/host.ini");
+  CHECK_NOTHROW(ParseSettings(example, "host.ini"));
+  for (const SettingKey& key : SettingKeys()) {
+    CHECK_THAT(example, Catch::Contains("\n" + key.name + " = "));
+  }
+}
+
 }  // namespace
 }  // namespace poplarsail::model
