Split the router: keeper role, decision types

What a host knows of keepers and of its own part among them is KeeperRole; what a decision is stands in decision.h.

--- a/benchmarks/bm_steering.cc
+++ b/benchmarks/bm_steering.cc
@@ -61,8 +61,7 @@
 
 // A router with a service of 14 upstreams of which one drains.
 struct DrainFixture {
-  explicit DrainFixture(size_t capacity)
-      : router("e0", capacity, kNow - std::chrono::hours(24)) {
+  explicit DrainFixture(size_t capacity) : router("e0", capacity) {
     router.SetMembers(MakeMembers(1), kNow - std::chrono::hours(24));
     ServiceGoal goal = MakeGoal(1, 14);
     const auto first = NextPlan(nullptr, goal, At(kNow));
@@ -179,7 +178,7 @@
   const int services = static_cast<int>(state.range(0));
   size_t bytes = 0;
   for (auto _ : state) {
-    Router router("e0", 1'024, kNow);
+    Router router("e0", 1'024);
     bytes = 0;
     for (int i = 0; i < services; ++i) {
       const auto plan = MakePlan(i, 3 + (i % 3 == 0 ? 1 : 0) + i % 2);
--- a/src/libs/runtime/packet_duty.cc
+++ b/src/libs/runtime/packet_duty.cc
@@ -64,7 +64,7 @@
     : m_settings(settings),
       m_fabric_port(settings.address, settings.packet_port),
       m_relay_port(settings.address, settings.relay_port),
-      m_router(settings.host_name, settings.flow_capacity, model::Now()),
+      m_router(settings.host_name, settings.flow_capacity),
       m_commands(kCommandRing),
       m_member_commands(kMemberCommandRing),
       m_queries(kQueryRing),
@@ -159,7 +159,7 @@
         break;
       case Action::kRelay:
         answer.action = "relay";
-        answer.target = m_router.members()->members()[decision.next_host].name;
+        answer.target = m_router.members().members()[decision.next_host].name;
         break;
       case Action::kDrop:
         answer.action = "drop";
@@ -217,9 +217,8 @@
       return;
     case Action::kRelay:
       m_traffic->Add(kRelayed);
-      m_relay_port.Queue(
-          m_router.members()->members()[decision.next_host].relay,
-          steering::Encode(decision.header), packet);
+      m_relay_port.Queue(m_router.members().members()[decision.next_host].relay,
+                         steering::Encode(decision.header), packet);
       return;
     case Action::kDrop:
       m_drops->Add(static_cast<size_t>(decision.drop_reason));
--- a/src/libs/steering/router.cc
+++ b/src/libs/steering/router.cc
@@ -9,16 +9,6 @@
 
 namespace {
 
-constexpr TimePoint kNever = TimePoint::max();
-// In place of a member's index.
-constexpr int kNobody = -1;
-
-bool IsAmongKeepers(std::span<const MemberIndex> candidates, int member) {
-  const size_t copies = std::min(candidates.size(), kKeeperCopies);
-  const auto keepers = candidates.first(copies);
-  return std::find(keepers.begin(), keepers.end(), member) != keepers.end();
-}
-
 // A packet that is not the first shows that the flow is open.
 FlowPhase PhaseAfter(FlowPhase phase, const PacketSummary& packet) {
   if (!packet.marks_first) {
@@ -38,42 +28,6 @@
 
 }  // namespace
 
-std::string_view ToString(DropReason reason) {
-  switch (reason) {
-    case DropReason::kNone:
-      return "none";
-    case DropReason::kUnknownService:
-      return "unknown_service";
-    case DropReason::kNoServingUpstream:
-      return "no_upstream";
-    case DropReason::kUnknownUpstream:
-      return "unknown_upstream";
-    case DropReason::kTableFull:
-      return "table_full";
-  }
-  return "unknown";
-}
-
-std::string_view ToString(DecisionCause cause) {
-  switch (cause) {
-    case DecisionCause::kStableBucket:
-      return "stable_bucket";
-    case DecisionCause::kRecord:
-      return "record";
-    case DecisionCause::kBase:
-      return "base";
-    case DecisionCause::kFirstPacket:
-      return "first_packet";
-    case DecisionCause::kRecordCopy:
-      return "record_copy";
-    case DecisionCause::kAskKeeper:
-      return "ask_keeper";
-    case DecisionCause::kDropped:
-      return "dropped";
-  }
-  return "unknown";
-}
-
 size_t Router::ServiceKeyHash::operator()(const ServiceKey& key) const {
   std::array<uint8_t, 19> packed;
   std::copy(key.address.begin(), key.address.end(), packed.begin());
@@ -83,14 +37,8 @@
   return XXH3_64bits(packed.data(), packed.size());
 }
 
-Router::Router(std::string self, size_t flow_capacity, TimePoint started_at)
-    : m_self(std::move(self)),
-      m_self_tag(TagOfName(m_self)),
-      m_flows(flow_capacity) {
-  const std::vector<std::string> no_domains;
-  SetMembers(std::make_shared<KeeperMap>(std::vector<Member>{}, no_domains),
-             started_at);
-}
+Router::Router(std::string self, size_t flow_capacity)
+    : m_role(std::move(self)), m_flows(flow_capacity) {}
 
 Router::ServiceKey Router::KeyOf(const ServicePlan& plan) {
   return {
@@ -146,51 +94,22 @@
   for (const BucketLink& link : entry->plan->AllLinks()) {
     const PlannedUpstream* upstream = entry->plan->FindUpstream(link.upstream);
     entry->link_groups.push_back(
-        upstream == nullptr ? GroupIndex{0}
-                            : m_members->GroupOf(upstream->failure_domain));
+        upstream == nullptr
+            ? GroupIndex{0}
+            : m_role.members().GroupOf(upstream->failure_domain));
   }
 }
 
 void Router::SetMembers(std::shared_ptr<const KeeperMap> members,
                         TimePoint now) {
-  const std::shared_ptr<const KeeperMap> previous = std::move(m_members);
-  m_members = std::move(members);
-  m_self_index = m_members->IndexOf(m_self);
-  std::vector<std::vector<TimePoint>> keeper_since;
-  for (size_t group = 0; group < m_members->group_count(); ++group) {
-    keeper_since.push_back(
-        KeeperTimes(static_cast<GroupIndex>(group), previous.get(), now));
-  }
-  m_keeper_since = std::move(keeper_since);
+  m_role.SetMembers(std::move(members), now);
   for (auto& [key, entry] : m_services) {
     AssignGroups(&entry);
   }
 }
 
-// Since when this host keeps each slot of a group, carried over from the
-// previous members.
-std::vector<TimePoint> Router::KeeperTimes(GroupIndex group,
-                                           const KeeperMap* previous,
-                                           TimePoint now) const {
-  std::vector<TimePoint> times(kKeeperSlots, kNever);
-  if (previous != nullptr) {
-    times = m_keeper_since[previous->GroupOf(m_members->DomainOf(group))];
-  }
-  for (uint32_t slot = 0; slot < kKeeperSlots; ++slot) {
-    const auto candidates = m_members->Candidates(group, slot);
-    times[slot] = IsAmongKeepers(candidates, m_self_index)
-                      ? std::min(times[slot], now)
-                      : kNever;
-  }
-  return times;
-}
-
 void Router::NotePause(TimePoint now) {
-  for (std::vector<TimePoint>& times : m_keeper_since) {
-    for (TimePoint& since : times) {
-      since = since == kNever ? kNever : now;
-    }
-  }
+  m_role.ForgetHistory(now);
 }
 
 Router::Context Router::MakeContext(const Entry& entry,
@@ -292,7 +211,7 @@
                            known->record.upstream, FlowPhase::kOpening);
   }
   const auto candidates = Candidates(context, group);
-  const bool is_keeper = IsAmongKeepers(candidates, m_self_index);
+  const bool is_keeper = m_role.IsKeeper(group, context.slot);
   const bool may_decide = is_keeper && KnowsAllFlows(context, group);
   const bool may_pass_on = context.relay.hops < kMaxRelayHops;
   if (const auto previous = PreviousDecider(context);
@@ -302,7 +221,7 @@
   }
   if (!may_decide && may_pass_on) {
     for (const MemberIndex candidate : candidates) {
-      if (candidate == m_self_index || WasVisited(context, candidate)) {
+      if (candidate == m_role.self_index() || WasVisited(context, candidate)) {
         continue;
       }
       return Relay(context, candidate, RelayPurpose::kResolve, kNoUpstream,
@@ -351,7 +270,7 @@
                            FlowPhase phase) {
   const GroupIndex group = DecidingGroup(context);
   const auto candidates = Candidates(context, group);
-  if (candidates.empty() || IsAmongKeepers(candidates, m_self_index)) {
+  if (candidates.empty() || m_role.IsKeeper(group, context.slot)) {
     return RecordAndPassOn(context, group, upstream, phase);
   }
   return RelayRecord(context, candidates[0], group,
@@ -365,7 +284,7 @@
                                  GroupIndex group,
                                  UpstreamId upstream,
                                  FlowPhase phase) {
-  const int other = OtherKeeper(context, group);
+  const int other = m_role.OtherKeeper(group, context.slot);
   const FlowRecord record{context.hash, upstream, phase, TagOf(other)};
   const InsertResult result =
       m_flows.Insert(record, context.now + LifetimeOf(phase), context.now);
@@ -407,7 +326,7 @@
     return RecordAndPassOn(context, group, header.upstream, header.phase);
   }
   const FlowRecord record{context.hash, header.upstream, header.phase,
-                          TagOf(OtherKeeper(context, group))};
+                          TagOf(m_role.OtherKeeper(group, context.slot))};
   m_flows.Insert(record, context.now + LifetimeOf(header.phase), context.now);
   return Forward(context, header.upstream, DecisionCause::kRecordCopy);
 }
@@ -421,12 +340,12 @@
   const bool is_fresh = phase == record.phase &&
                         found.deadline > context.now + lifetime - lifetime / 4;
   const bool has_backup =
-      record.backup_tag == TagOf(OtherKeeper(context, group));
+      record.backup_tag == TagOf(m_role.OtherKeeper(group, context.slot));
   if ((is_fresh && has_backup) || context.relay.hops >= kMaxRelayHops) {
     return Forward(context, record.upstream, DecisionCause::kRecord);
   }
   const auto candidates = Candidates(context, group);
-  if (candidates.empty() || IsAmongKeepers(candidates, m_self_index)) {
+  if (candidates.empty() || m_role.IsKeeper(group, context.slot)) {
     // Renews this record and the other copy by passing the packet through.
     return RecordAndPassOn(context, group, record.upstream, phase);
   }
@@ -444,7 +363,7 @@
   const uint32_t searched = SearchedStages(context);
   for (const PathStep& step : BuildPath(context)) {
     const bool may_know_more = (step.stage_mask & ~searched) != 0;
-    if (step.host == m_self_index || !may_know_more ||
+    if (step.host == m_role.self_index() || !may_know_more ||
         WasVisited(context, step.host)) {
       continue;
     }
@@ -459,8 +378,8 @@
 
 bool Router::WasVisited(const Context& context, MemberIndex host) const {
   const auto& visited = context.relay.visited;
-  return std::find(visited.begin(), visited.end(), m_members->TagOf(host)) !=
-         visited.end();
+  return std::find(visited.begin(), visited.end(),
+                   m_role.members().TagOf(host)) != visited.end();
 }
 
 // The link whose keepers decide on first packets: the newest that is active.
@@ -490,7 +409,7 @@
     return std::nullopt;
   }
   const auto keepers = Candidates(context, context.link_groups[deciding - 1]);
-  const bool is_other = !keepers.empty() && keepers[0] != m_self_index &&
+  const bool is_other = !keepers.empty() && keepers[0] != m_role.self_index() &&
                         !WasVisited(context, keepers[0]);
   return is_other ? std::optional(keepers[0]) : std::nullopt;
 }
@@ -532,7 +451,7 @@
 bool Router::WasSearched(const Context& context, GroupIndex group) const {
   const auto& searched = context.relay.searched;
   return std::find(searched.begin(), searched.end(),
-                   m_members->DomainTagOf(group)) != searched.end();
+                   m_role.members().DomainTagOf(group)) != searched.end();
 }
 
 // The stages of which this host, or one before it, knows every flow.
@@ -557,7 +476,7 @@
     const auto free_place =
         std::find(header->searched.begin(), header->searched.end(), 0);
     if (free_place != header->searched.end()) {
-      *free_place = m_members->DomainTagOf(group);
+      *free_place = m_role.members().DomainTagOf(group);
     }
   }
 }
@@ -565,14 +484,8 @@
 // Whether this host recorded each flow of the bucket that the group's keepers
 // had to record.
 bool Router::KnowsAllFlows(const Context& context, GroupIndex group) const {
-  const TimePoint since = m_keeper_since[group][context.slot];
-  if (since == kNever) {
-    return false;
-  }
-  if (since + kIdleTimeout <= context.now) {
-    return true;
-  }
-  return since + kMembershipSettle <= context.links.front().announced_at;
+  return m_role.KnowsAllFlowsSince(context.links.front().announced_at, group,
+                                   context.slot, context.now);
 }
 
 // The newest of the bucket's groups in which this host is a keeper, else in
@@ -580,14 +493,12 @@
 GroupIndex Router::GroupOfSelf(const Context& context) const {
   const Stages stages = StagesOf(context);
   for (const GroupIndex group : stages) {
-    if (IsAmongKeepers(Candidates(context, group), m_self_index)) {
+    if (m_role.IsKeeper(group, context.slot)) {
       return group;
     }
   }
   for (const GroupIndex group : stages) {
-    const auto candidates = Candidates(context, group);
-    if (std::find(candidates.begin(), candidates.end(), m_self_index) !=
-        candidates.end()) {
+    if (m_role.IsCandidate(group, context.slot)) {
       return group;
     }
   }
@@ -596,29 +507,19 @@
 
 GroupIndex Router::GroupOfTag(const Context& context, DomainTag tag) const {
   for (const GroupIndex group : StagesOf(context)) {
-    if (m_members->DomainTagOf(group) == tag) {
+    if (m_role.members().DomainTagOf(group) == tag) {
       return group;
     }
   }
   return GroupOfSelf(context);
 }
 
-// The best keeper of a group other than this host.
-int Router::OtherKeeper(const Context& context, GroupIndex group) const {
-  for (const MemberIndex candidate : Candidates(context, group)) {
-    if (candidate != m_self_index) {
-      return candidate;
-    }
-  }
-  return kNobody;
-}
-
 uint8_t Router::TagOf(int member) const {
   if (member == kNobody) {
     return 0;
   }
   return static_cast<uint8_t>(
-      m_members->TagOf(static_cast<MemberIndex>(member)));
+      m_role.members().TagOf(static_cast<MemberIndex>(member)));
 }
 
 Decision Router::Forward(const Context& context,
@@ -660,7 +561,7 @@
                      .visited = context.relay.visited,
                      .searched = context.relay.searched};
   if (context.relay.hops < kMaxRelayHops) {
-    decision.header.visited[context.relay.hops] = m_self_tag;
+    decision.header.visited[context.relay.hops] = m_role.self_tag();
   }
   return decision;
 }
@@ -672,7 +573,7 @@
                              DecisionCause cause) const {
   Decision decision = Relay(context, host, RelayPurpose::kRecord,
                             record.upstream, record.phase, cause);
-  decision.header.keeper_domain = m_members->DomainTagOf(group);
+  decision.header.keeper_domain = m_role.members().DomainTagOf(group);
   return decision;
 }
 
--- a/src/libs/steering/router.h
+++ b/src/libs/steering/router.h
@@ -8,13 +8,14 @@
 #include <optional>
 #include <span>
 #include <string>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "steering/decision.h"
 #include "steering/flow_key.h"
 #include "steering/flow_table.h"
 #include "steering/keeper_map.h"
+#include "steering/keeper_role.h"
 #include "steering/packet_parser.h"
 #include "steering/relay_header.h"
 #include "steering/service_plan.h"
@@ -22,65 +23,6 @@
 
 namespace poplarsail::steering {
 
-enum class Action : uint8_t { kForward, kRelay, kDrop };
-
-enum class DropReason : uint8_t {
-  kNone,
-  kUnknownService,
-  // The service has no upstream that takes new flows.
-  kNoServingUpstream,
-  // Another host recorded an upstream that this host's plan does not have yet.
-  kUnknownUpstream,
-  // A flow record was needed and the table had no place.
-  kTableFull,
-};
-inline constexpr size_t kDropReasonCount = 5;
-
-// Why a decision was taken; `explain` and the counters show it.
-enum class DecisionCause : uint8_t {
-  // The bucket has one owner.
-  kStableBucket,
-  // A record names the flow's upstream.
-  kRecord,
-  // Nobody recorded the flow: it began at the bucket's base.
-  kBase,
-  // A first packet, decided here.
-  kFirstPacket,
-  // Another host decided and this one stores the second copy.
-  kRecordCopy,
-  // A keeper further on may know the flow.
-  kAskKeeper,
-  kDropped,
-};
-inline constexpr size_t kDecisionCauseCount = 7;
-
-std::string_view ToString(DropReason reason);
-std::string_view ToString(DecisionCause cause);
-
-// Where one packet goes.
-struct Decision {
-  Action action = Action::kDrop;
-  DecisionCause cause = DecisionCause::kDropped;
-  DropReason drop_reason = DropReason::kNone;
-  // The flow's upstream (kForward); valid until the plan is replaced.
-  const PlannedUpstream* upstream = nullptr;
-  // The entry host that the packet is passed to, with `header` (kRelay).
-  MemberIndex next_host = 0;
-  RelayHeader header;
-
-  friend bool operator==(const Decision&, const Decision&) = default;
-};
-
-// A flow record on its way to another entry host.
-struct RecordTransfer {
-  FlowRecord record;
-  std::string service;
-  TimePoint deadline;
-
-  friend bool operator==(const RecordTransfer&,
-                         const RecordTransfer&) = default;
-};
-
 // Decides where packets go on one entry host. Buckets with one owner need no
 // state. In a bucket with several owners, the two keepers of the newest
 // owner's failure domain record each new flow: its first packet passes through
@@ -88,7 +30,7 @@
 // record belong to the bucket's oldest owner.
 class Router {
  public:
-  Router(std::string self, size_t flow_capacity, TimePoint started_at);
+  Router(std::string self, size_t flow_capacity);
 
   // Takes a plan; one of an older generation than the present one is ignored.
   // Returns whether it was taken.
@@ -108,7 +50,7 @@
   // As Decide for a packet that opens no flow, without changing anything.
   Decision Explain(const PacketSummary& packet, TimePoint now) const;
 
-  const KeeperMap* members() const { return m_members.get(); }
+  const KeeperMap& members() const { return m_role.members(); }
   ServicePlanPtr FindPlan(const std::string& service) const;
   FlowTable& flows() { return m_flows; }
   const FlowTable& flows() const { return m_flows; }
@@ -157,9 +99,6 @@
   using Path = boost::container::small_vector<PathStep, 16>;
 
   void AssignGroups(Entry* entry) const;
-  std::vector<TimePoint> KeeperTimes(GroupIndex group,
-                                     const KeeperMap* previous,
-                                     TimePoint now) const;
   static ServiceKey KeyOf(const ServicePlan& plan);
   Context MakeContext(const Entry& entry,
                       const PacketSummary& packet,
@@ -188,7 +127,7 @@
   Path BuildPath(const Context& context) const;
   std::span<const MemberIndex> Candidates(const Context& context,
                                           GroupIndex group) const {
-    return m_members->Candidates(group, context.slot);
+    return m_role.members().Candidates(group, context.slot);
   }
   size_t DecidingLink(const Context& context) const;
   GroupIndex DecidingGroup(const Context& context) const;
@@ -199,7 +138,6 @@
   bool KnowsAllFlows(const Context& context, GroupIndex group) const;
   uint32_t SearchedStages(const Context& context) const;
   GroupIndex GroupOfTag(const Context& context, DomainTag tag) const;
-  int OtherKeeper(const Context& context, GroupIndex group) const;
   uint8_t TagOf(int member) const;
 
   Decision Forward(const Context& context,
@@ -219,16 +157,10 @@
                        DecisionCause cause) const;
   void NoteGeneration(const ServicePlan& plan, const RelayHeader* relay);
 
-  std::string m_self;
-  HostTag m_self_tag;
-  int m_self_index = -1;
+  KeeperRole m_role;
   std::unordered_map<ServiceKey, Entry, ServiceKeyHash> m_services;
   std::unordered_map<std::string, ServiceKey> m_keys_by_name;
-  std::shared_ptr<const KeeperMap> m_members;
   FlowTable m_flows;
-  // For each group and slot, since when this host has kept the records without
-  // a gap; the far future where it does not keep them.
-  std::vector<std::vector<TimePoint>> m_keeper_since;
   uint32_t m_missed_generation = 0;
 };
 
--- a/src/libs/steering/steering.h
+++ b/src/libs/steering/steering.h
@@ -3,9 +3,11 @@
 #ifndef STEERING_STEERING_H_
 #define STEERING_STEERING_H_
 
+#include "steering/decision.h"
 #include "steering/flow_key.h"
 #include "steering/flow_table.h"
 #include "steering/keeper_map.h"
+#include "steering/keeper_role.h"
 #include "steering/packet_parser.h"
 #include "steering/planner.h"
 #include "steering/relay_header.h"
--- a/src/tools/measure/host_steering.cc
+++ b/src/tools/measure/host_steering.cc
@@ -172,8 +172,8 @@
 // The product's own router.
 class KeeperSteering : public HostSteering {
  public:
-  KeeperSteering(const std::string& host, size_t flow_capacity, TimePoint now)
-      : m_router(host, flow_capacity, now) {}
+  KeeperSteering(const std::string& host, size_t flow_capacity)
+      : m_router(host, flow_capacity) {}
 
   void SetPlan(ServicePlanPtr plan) override {
     m_router.SetPlan(std::move(plan));
@@ -189,7 +189,7 @@
     return m_router.Decide(packet, relay, now);
   }
   const steering::KeeperMap* members() const override {
-    return m_router.members();
+    return &m_router.members();
   }
   size_t CountRecords(TimePoint now) const override {
     return m_router.flows().CountLive(now);
@@ -217,8 +217,7 @@
 
 std::unique_ptr<HostSteering> MakeHostSteering(Way way,
                                                const std::string& host,
-                                               size_t flow_capacity,
-                                               TimePoint now) {
+                                               size_t flow_capacity) {
   switch (way) {
     case Way::kLocalTable:
       return std::make_unique<LocalTableSteering>(flow_capacity);
@@ -227,7 +226,7 @@
     case Way::kDigests:
       return std::make_unique<DigestSteering>(flow_capacity);
     case Way::kKeepers:
-      return std::make_unique<KeeperSteering>(host, flow_capacity, now);
+      return std::make_unique<KeeperSteering>(host, flow_capacity);
   }
   return nullptr;
 }
--- a/src/tools/measure/host_steering.h
+++ b/src/tools/measure/host_steering.h
@@ -56,8 +56,7 @@
 
 std::unique_ptr<HostSteering> MakeHostSteering(Way way,
                                                const std::string& host,
-                                               size_t flow_capacity,
-                                               TimePoint now);
+                                               size_t flow_capacity);
 
 }  // namespace poplarsail::measure
 
--- a/src/tools/measure/packet_fleet.cc
+++ b/src/tools/measure/packet_fleet.cc
@@ -344,7 +344,7 @@
   auto host = std::make_unique<Host>();
   host->name = fmt::format("e{:02}", number);
   host->domain = number % m_options.domains;
-  host->steering = MakeHostSteering(m_way, host->name, kFlowCapacity, Now());
+  host->steering = MakeHostSteering(m_way, host->name, kFlowCapacity);
   host->detector = std::make_unique<membership::FailureDetector>(
       host->name, m_random(), Now());
   host->fabric_from_ms = m_now_ms + kFabricLagMs;
--- a/tests/auto/steering/tst_router.cc
+++ b/tests/auto/steering/tst_router.cc
@@ -56,7 +56,7 @@
 
 // A fleet of one host, which keeps all records.
 Router MakeRouter(size_t capacity) {
-  Router router("e1", capacity, kLongBefore);
+  Router router("e1", capacity);
   const std::vector<std::string> domains = {"d0"};
   router.SetMembers(std::make_shared<const KeeperMap>(
                         std::vector<Member>{{"e1", "d0", {}}}, domains),
