--- a/src/tools/measure/packet_fleet.cc
+++ b/src/tools/measure/packet_fleet.cc
@@ -1,10 +1,13 @@
+// Load of a PacketFleet: flows, packets and what happens to the fleet.
+
 #include "measure/packet_fleet.h"
 
 #include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
+
+#include "measure/packet_fleet_internal.h"
 
 namespace poplarsail::measure {
 
@@ -15,26 +18,11 @@
 using steering::RelayHeader;
 
 constexpr int64_t kEpochMs = 1'700'000'000'000;
-constexpr int64_t kAnnounceMs = 2'500;
-constexpr int64_t kLeaveMs = 1'000;
 constexpr int64_t kReplanMs = 1'000;
-// Time from a change to a new plan's arrival at a host.
-constexpr int64_t kUpdateLeastMs = 20;
-constexpr int64_t kUpdateMostMs = 400;
-constexpr int64_t kLateMs = 2'000;
-constexpr int64_t kRetryMs = 500;
-// How late the platform's list of hosts reaches a host, and the fabric.
-constexpr int64_t kListLeastMs = 500;
-constexpr int64_t kListMostMs = 3'000;
 constexpr int64_t kFabricLagMs = 1'000;
 // Between a host's announcement that it keeps records, or stops, and that time.
 constexpr int64_t kKeeperAnnounceMs = 4'000;
 constexpr int64_t kLingerMs = 6'000;
-// One way between two hosts.
-constexpr int64_t kLinkLeastMs = 1;
-constexpr int64_t kLinkMostMs = 8;
-constexpr double kLossShare = 0.05;
-constexpr size_t kUdpOverheadBytes = 28;
 constexpr int64_t kDetectorTickMs = 10;
 constexpr int64_t kDigestIntervalMs = 100;
 constexpr int64_t kFirstRetryMs = 1'000;
@@ -48,65 +36,10 @@
 constexpr int64_t kStateSampleMs = 10'000;
 constexpr int kMaxCarrySteps = 10;
 constexpr double kRecordBytes = 16 / 0.7;
-constexpr int kNoOwner = -1;
 constexpr double kImbalancePercentile = 0.99;
 
 }  // namespace
 
-struct PacketFleet::Host {
-  std::string name;
-  int domain = 0;
-  std::unique_ptr<HostSteering> steering;
-  std::unique_ptr<membership::FailureDetector> detector;
-  uint64_t seen_changes = 0;
-  uint32_t seen_refutations = 0;
-  // The process runs.
-  bool is_up = true;
-  // The platform's list names the host as live.
-  bool is_listed = true;
-  // The fabric sends packets to it until then, once it is not listed.
-  int64_t fabric_until_ms = INT64_MAX;
-  int64_t fabric_from_ms = 0;
-  int64_t ends_at_ms = INT64_MAX;
-  // The newest member list arrives then; none overtakes another.
-  int64_t members_until_ms = INT64_MIN;
-  // What the host says of its part as a keeper.
-  TimePoint keeper_from = TimePoint::min();
-  TimePoint keeper_until = TimePoint::max();
-  // The member list as the host knows it.
-  std::vector<steering::Member> members;
-  TimePoint next_keeper_change = TimePoint::max();
-};
-
-struct PacketFleet::Upstream {
-  std::string name;
-  int domain = 0;
-  uint32_t weight = 0;
-  bool is_present = false;
-  uint64_t open_flows = 0;
-  // The change after which no new flow should come.
-  int64_t closed_at_ms = -1;
-};
-
-struct PacketFleet::Flow {
-  steering::FlowKey key;
-  int owner = kNoOwner;
-  bool is_established = false;
-  bool is_over = false;
-  bool is_quiet = false;
-  int64_t opened_at_ms = 0;
-  int64_t ends_at_ms = 0;
-  int64_t undelivered_since_ms = -1;
-};
-
-// A control message on its way to one host.
-struct PacketFleet::Delivery {
-  steering::ServicePlanPtr plan;
-  std::shared_ptr<const std::vector<steering::Member>> members;
-  std::shared_ptr<const Digest> digest;
-  std::shared_ptr<const membership::Message> peer_message;
-};
-
 PacketFleet::PacketFleet(Way way,
                          const FleetOptions& options,
                          std::vector<FleetEvent> events)
@@ -360,233 +293,6 @@
   m_hosts.push_back(std::move(host));
 }
 
-void PacketFleet::MembersChanged() {
-  m_members_pending = m_platform_away;
-  if (m_platform_away) {
-    return;
-  }
-  m_members.clear();
-  for (const auto& host : m_hosts) {
-    if (host->is_listed) {
-      m_members.push_back({host->name,
-                           fmt::format("d{}", host->domain),
-                           {},
-                           host->keeper_from,
-                           host->keeper_until});
-    }
-  }
-  const auto members =
-      std::make_shared<const std::vector<steering::Member>>(m_members);
-  std::uniform_int_distribution<int64_t> lag(kListLeastMs, kListMostMs);
-  for (size_t i = 0; i < m_hosts.size(); ++i) {
-    Host& host = *m_hosts[i];
-    host.members_until_ms =
-        std::max(host.members_until_ms, m_now_ms + lag(m_random));
-    Deliver(static_cast<int>(i), host.members_until_ms, {.members = members});
-  }
-}
-
-void PacketFleet::TakeMembers(Host* host,
-                              const std::vector<steering::Member>& members) {
-  host->members = members;
-  std::vector<std::string> names;
-  for (const steering::Member& member : members) {
-    names.push_back(member.name);
-  }
-  host->detector->SetPeers(names, Now());
-  RefreshKeepers(host);
-}
-
-void PacketFleet::RefreshKeepers(Host* host) {
-  auto keepers = steering::KeepersAt(host->members, Now());
-  const auto dead = host->detector->DeadPeers();
-  std::erase_if(keepers, [&dead](const steering::Member& member) {
-    return std::binary_search(dead.begin(), dead.end(), member.name);
-  });
-  std::vector<std::string> names;
-  for (const steering::Member& keeper : keepers) {
-    names.push_back(keeper.name);
-  }
-  auto& map = m_keeper_maps[names];
-  if (map == nullptr) {
-    std::vector<std::string> domains;
-    for (int i = 0; i < m_options.domains; ++i) {
-      domains.push_back(fmt::format("d{}", i));
-    }
-    map = std::make_shared<const steering::KeeperMap>(keepers, domains);
-  }
-  host->next_keeper_change = steering::NextKeeperChange(host->members, Now());
-  host->steering->SetMembers(map, Now());
-}
-
-void PacketFleet::Replan() {
-  m_plan_pending = m_platform_away;
-  if (m_platform_away) {
-    return;
-  }
-  steering::ServiceGoal goal;
-  goal.service = "tally";
-  goal.address = *model::ParseEndpoint("203.0.113.10:443");
-  goal.hash_seed = m_options.seed * 7919 + 1;
-  for (size_t i = 0; i < m_upstreams.size(); ++i) {
-    const Upstream& upstream = m_upstreams[i];
-    if (!upstream.is_present) {
-      continue;
-    }
-    goal.upstreams.push_back(
-        {upstream.name,
-         *model::ParseEndpoint(fmt::format("192.0.2.{}:443", i + 1)),
-         fmt::format("d{}", upstream.domain), upstream.weight});
-  }
-  const auto next =
-      steering::NextPlan(m_plan.get(), goal,
-                         {Now(), Now() + std::chrono::milliseconds(kAnnounceMs),
-                          Now() + std::chrono::milliseconds(kLeaveMs)});
-  if (!next) {
-    return;
-  }
-  m_plan = std::make_shared<const steering::ServicePlan>(*next);
-  for (size_t i = 0; i < m_hosts.size(); ++i) {
-    Deliver(static_cast<int>(i), DeliveryTime(static_cast<int>(i)),
-            {.plan = m_plan});
-  }
-  const size_t bytes =
-      nlohmann::json::to_msgpack(steering::ToJson(*m_plan)).size();
-  m_control_bytes_this_second += static_cast<double>(bytes);
-}
-
-int64_t PacketFleet::DeliveryTime(int host) {
-  std::uniform_int_distribution<int64_t> delay(kUpdateLeastMs, kUpdateMostMs);
-  int64_t at_ms = m_now_ms + delay(m_random);
-  if (m_half_late && host % 2 == 1) {
-    at_ms += kLateMs;
-  }
-  std::bernoulli_distribution is_lost(kLossShare);
-  while (m_is_lossy && is_lost(m_random)) {
-    at_ms += kRetryMs;
-  }
-  return at_ms;
-}
-
-void PacketFleet::Deliver(int host, int64_t at_ms, Delivery delivery) {
-  m_deliveries.emplace(at_ms, std::make_pair(host, std::move(delivery)));
-}
-
-void PacketFleet::RunDeliveries() {
-  for (const auto& host : m_hosts) {
-    if (host->ends_at_ms <= m_now_ms) {
-      host->is_up = false;
-    }
-    if (host->is_up && host->next_keeper_change <= Now()) {
-      RefreshKeepers(host.get());
-    }
-  }
-  while (!m_deliveries.empty() && m_deliveries.begin()->first <= m_now_ms) {
-    const auto [host_index, delivery] = m_deliveries.begin()->second;
-    m_deliveries.erase(m_deliveries.begin());
-    Host& host = *m_hosts[host_index];
-    if (!host.is_up) {
-      // A paused host reads what waited when it goes on.
-      if (host.ends_at_ms == INT64_MAX && delivery.peer_message == nullptr) {
-        Deliver(host_index, m_now_ms + kRetryMs, delivery);
-      }
-      continue;
-    }
-    if (delivery.plan != nullptr) {
-      host.steering->SetPlan(delivery.plan);
-    }
-    if (delivery.members != nullptr) {
-      TakeMembers(&host, *delivery.members);
-    }
-    if (delivery.peer_message != nullptr) {
-      SendAll(host_index,
-              host.detector->Receive(*delivery.peer_message, Now()));
-      NoteDetector(&host);
-    }
-    if (delivery.digest != nullptr) {
-      host.steering->ReceiveDigest(*delivery.digest, Now());
-    }
-  }
-}
-
-bool PacketFleet::IsCut(int domain, int other_domain) const {
-  return domain != other_domain &&
-         (m_domain_cut[domain] || m_domain_cut[other_domain]);
-}
-
-int PacketFleet::FindHost(const std::string& name) const {
-  for (size_t i = 0; i < m_hosts.size(); ++i) {
-    if (m_hosts[i]->name == name) {
-      return static_cast<int>(i);
-    }
-  }
-  return -1;
-}
-
-void PacketFleet::RunFailureDetectors() {
-  for (size_t i = 0; i < m_hosts.size(); ++i) {
-    if (m_hosts[i]->is_up) {
-      SendAll(static_cast<int>(i), m_hosts[i]->detector->Tick(Now()));
-      NoteDetector(m_hosts[i].get());
-    }
-  }
-}
-
-void PacketFleet::SendAll(
-    int from,
-    const std::vector<membership::OutgoingMessage>& messages) {
-  std::uniform_int_distribution<int64_t> delay(kLinkLeastMs, kLinkMostMs);
-  std::bernoulli_distribution is_lost(kLossShare);
-  for (const membership::OutgoingMessage& item : messages) {
-    m_control_bytes_this_second +=
-        static_cast<double>(membership::Encode(item.message).size() +
-                            kUdpOverheadBytes) /
-        static_cast<double>(m_hosts.size());
-    const int to = FindHost(item.to);
-    const bool is_delivered =
-        to >= 0 && !IsCut(m_hosts[from]->domain, m_hosts[to]->domain) &&
-        !(m_is_lossy && is_lost(m_random));
-    if (!is_delivered) {
-      continue;
-    }
-    Deliver(to, m_now_ms + delay(m_random),
-            {.peer_message =
-                 std::make_shared<const membership::Message>(item.message)});
-  }
-}
-
-void PacketFleet::NoteDetector(Host* host) {
-  if (host->detector->refutation_count() != host->seen_refutations) {
-    host->seen_refutations = host->detector->refutation_count();
-    host->steering->NotePause(Now());
-  }
-  if (host->detector->change_count() != host->seen_changes) {
-    host->seen_changes = host->detector->change_count();
-    RefreshKeepers(host);
-  }
-}
-
-void PacketFleet::SpreadDigests() {
-  for (size_t from = 0; from < m_hosts.size(); ++from) {
-    if (!m_hosts[from]->is_up) {
-      continue;
-    }
-    const auto digest =
-        std::make_shared<const Digest>(m_hosts[from]->steering->TakeDigest());
-    if (digest->records.empty()) {
-      continue;
-    }
-    // Each host receives what each other host sends.
-    m_control_bytes_this_second += static_cast<double>(digest->wire_bytes);
-    for (size_t to = 0; to < m_hosts.size(); ++to) {
-      if (to != from) {
-        Deliver(static_cast<int>(to), DeliveryTime(static_cast<int>(to)),
-                {.digest = digest});
-      }
-    }
-  }
-}
-
 void PacketFleet::OpenFlow(bool is_long) {
   const auto index = static_cast<uint32_t>(m_flows.size());
   Flow flow;
