Look services up and ask keepers in one place; drop unread state

The newest generation seen in relayed packets was kept on the way of each packet and never read, and PlannerChoice had an accessor without callers: both are gone.

--- a/src/libs/control/plan_keeper.h
+++ b/src/libs/control/plan_keeper.h
@@ -16,7 +16,6 @@
 
   // Returns an empty text without live hosts.
   const std::string& PlannerOf(const std::string& service) const;
-  const std::vector<std::string>& live_hosts() const { return m_live_hosts; }
 
  private:
   std::vector<std::string> m_live_hosts;
--- a/src/libs/steering/router.cc
+++ b/src/libs/steering/router.cc
@@ -56,7 +56,6 @@
   }
   const std::string& name = plan->service();
   const uint64_t service_hash = XXH3_64bits(name.data(), name.size());
-  m_missed_generation = 0;
   const ServiceKey key = KeyOf(*plan);
   Entry entry{plan, service_hash, {}};
   AssignGroups(&entry);
@@ -131,36 +130,37 @@
           .now = now};
 }
 
-Decision Router::Decide(const PacketSummary& packet,
-                        const RelayHeader* relay,
-                        TimePoint now) {
+const Router::Entry* Router::FindService(const PacketSummary& packet) const {
   const auto found =
       m_services.find({packet.key.destination, packet.key.destination_port,
                        packet.key.protocol});
-  if (found == m_services.end()) {
+  return found == m_services.end() ? nullptr : &found->second;
+}
+
+Decision Router::Decide(const PacketSummary& packet,
+                        const RelayHeader* relay,
+                        TimePoint now) {
+  const Entry* entry = FindService(packet);
+  if (entry == nullptr) {
     return Drop(DropReason::kUnknownService);
   }
-  const Entry& entry = found->second;
-  NoteGeneration(*entry.plan, relay);
-  const Context context = MakeContext(entry, packet, relay, now);
+  const Context context = MakeContext(*entry, packet, relay, now);
   if (relay != nullptr && relay->purpose == RelayPurpose::kRecord) {
     return StoreCopy(context, *relay);
   }
   if (context.links.empty()) {
-    return Forward(context, entry.plan->Base(context.bucket),
+    return Forward(context, context.plan.Base(context.bucket),
                    DecisionCause::kStableBucket);
   }
   return DecideInTransition(context);
 }
 
 Decision Router::Explain(const PacketSummary& packet, TimePoint now) const {
-  const auto found =
-      m_services.find({packet.key.destination, packet.key.destination_port,
-                       packet.key.protocol});
-  if (found == m_services.end()) {
+  const Entry* entry = FindService(packet);
+  if (entry == nullptr) {
     return Drop(DropReason::kUnknownService);
   }
-  const Context context = MakeContext(found->second, packet, nullptr, now);
+  const Context context = MakeContext(*entry, packet, nullptr, now);
   if (context.links.empty()) {
     return Forward(context, context.plan.Base(context.bucket),
                    DecisionCause::kStableBucket);
@@ -172,12 +172,6 @@
   return AskOnward(context).value_or(ForwardToBase(context));
 }
 
-void Router::NoteGeneration(const ServicePlan& plan, const RelayHeader* relay) {
-  if (relay != nullptr && relay->generation > plan.generation()) {
-    m_missed_generation = std::max(m_missed_generation, relay->generation);
-  }
-}
-
 Decision Router::DecideInTransition(const Context& context) {
   if (context.packet.is_first) {
     return DecideFirst(context);
@@ -216,16 +210,14 @@
   const bool may_pass_on = context.relay.hops < kMaxRelayHops;
   if (const auto previous = PreviousDecider(context);
       previous && may_decide && may_pass_on) {
-    return Relay(context, *previous, RelayPurpose::kResolve, kNoUpstream,
-                 FlowPhase::kOpening, DecisionCause::kAskKeeper);
+    return Ask(context, *previous);
   }
   if (!may_decide && may_pass_on) {
     for (const MemberIndex candidate : candidates) {
       if (candidate == m_role.self_index() || WasVisited(context, candidate)) {
         continue;
       }
-      return Relay(context, candidate, RelayPurpose::kResolve, kNoUpstream,
-                   FlowPhase::kOpening, DecisionCause::kAskKeeper);
+      return Ask(context, candidate);
     }
   }
   const UpstreamId upstream =
@@ -367,9 +359,7 @@
         WasVisited(context, step.host)) {
       continue;
     }
-    Decision decision =
-        Relay(context, step.host, RelayPurpose::kResolve, kNoUpstream,
-              FlowPhase::kOpening, DecisionCause::kAskKeeper);
+    Decision decision = Ask(context, step.host);
     NoteSearched(context, &decision.header);
     return decision;
   }
@@ -566,6 +556,12 @@
   return decision;
 }
 
+// Passes the packet to a host that may have a record or may decide.
+Decision Router::Ask(const Context& context, MemberIndex host) const {
+  return Relay(context, host, RelayPurpose::kResolve, kNoUpstream,
+               FlowPhase::kOpening, DecisionCause::kAskKeeper);
+}
+
 Decision Router::RelayRecord(const Context& context,
                              MemberIndex host,
                              GroupIndex group,
--- a/src/libs/steering/router.h
+++ b/src/libs/steering/router.h
@@ -54,9 +54,6 @@
   ServicePlanPtr FindPlan(const std::string& service) const;
   FlowTable& flows() { return m_flows; }
   const FlowTable& flows() const { return m_flows; }
-  // The newest generation seen in packets of other hosts that this host does
-  // not have; 0 for none.
-  uint32_t missed_generation() const { return m_missed_generation; }
 
  private:
   struct ServiceKey {
@@ -100,6 +97,8 @@
 
   void AssignGroups(Entry* entry) const;
   static ServiceKey KeyOf(const ServicePlan& plan);
+  // Returns null for a packet of no service.
+  const Entry* FindService(const PacketSummary& packet) const;
   Context MakeContext(const Entry& entry,
                       const PacketSummary& packet,
                       const RelayHeader* relay,
@@ -150,18 +149,17 @@
                  UpstreamId upstream,
                  FlowPhase phase,
                  DecisionCause cause) const;
+  Decision Ask(const Context& context, MemberIndex host) const;
   Decision RelayRecord(const Context& context,
                        MemberIndex host,
                        GroupIndex group,
                        const FlowRecord& record,
                        DecisionCause cause) const;
-  void NoteGeneration(const ServicePlan& plan, const RelayHeader* relay);
 
   KeeperRole m_role;
   std::unordered_map<ServiceKey, Entry, ServiceKeyHash> m_services;
   std::unordered_map<std::string, ServiceKey> m_keys_by_name;
   FlowTable m_flows;
-  uint32_t m_missed_generation = 0;
 };
 
 }  // namespace poplarsail::steering
