--- a/src/libs/flows/liveness.cc
+++ b/src/libs/flows/liveness.cc
@@ -19,19 +19,20 @@
   m_next_probe = now + kProbationDelay;
 }
 
-Health Liveness::health() const {
+Health Liveness::health(SteadyTime now) const {
   if (m_unanswered < kSuspectAttempts) {
     return Health::kGood;
   }
   const bool is_spread =
       m_last_unanswered - m_first_unanswered >= kPresumedDeadSpan;
-  return m_unanswered >= kPresumedDeadAttempts && is_spread
+  const bool is_recent = now - m_last_unanswered < kPresumedDeadTime;
+  return m_unanswered >= kPresumedDeadAttempts && is_spread && is_recent
              ? Health::kPresumedDead
              : Health::kSuspect;
 }
 
 bool Liveness::MayTry(SteadyTime now) const {
-  return health() == Health::kGood || now >= m_next_probe;
+  return health(now) == Health::kGood || now >= m_next_probe;
 }
 
 }  // namespace poplarsail::flows
--- a/src/libs/flows/liveness.h
+++ b/src/libs/flows/liveness.h
@@ -18,6 +18,10 @@
 // Unanswered attempts have to be spread over this time for that, so that one
 // burst of losses is not taken for a crash.
 inline constexpr milliseconds kPresumedDeadSpan{150};
+// Evidence of a death is acted on for this long after it was last renewed. Then
+// packets are passed on again, and one more without an answer renews it: a
+// failure domain that was cut off is back without notice.
+inline constexpr milliseconds kPresumedDeadTime{2'000};
 // After this time without new evidence one attempt may try the upstream again;
 // it is the time in which the registration of a crashed upstream lapses.
 inline constexpr milliseconds kProbationDelay{1'500};
@@ -33,7 +37,7 @@
   // An attempt that began at `sent` has had no answer until `now`.
   void RecordUnanswered(SteadyTime sent, SteadyTime now);
 
-  Health health() const;
+  Health health(SteadyTime now) const;
 
   // Whether an attempt may be risked: in good health, or as the one attempt
   // after probation. `StartProbe` makes further ones wait.
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -62,7 +62,7 @@
   if (chosen == nullptr) {
     return {Action::kReset, Reason::kNoUpstream};
   }
-  if (chosen->liveness.health() != Health::kGood) {
+  if (chosen->liveness.health(now) != Health::kGood) {
     chosen->liveness.StartProbe(now);
   }
   if (flow != nullptr) {
@@ -89,7 +89,7 @@
     return DecideUntagged(packet, now);
   }
   Observe(packet, upstream, now);
-  if (IsPresumedDead(*upstream) && !packet.is_reset) {
+  if (IsPresumedDead(*upstream, now) && !packet.is_reset) {
     return {Action::kReset, Reason::kUpstreamDead, upstream};
   }
   return {Action::kForward, Reason::kTagged, upstream, packet.tag};
@@ -210,8 +210,8 @@
   m_directory.DomainLiveness(upstream->record.failure_domain).RecordAnswer(now);
 }
 
-bool Steering::IsPresumedDead(const Upstream& upstream) {
-  const Health health = upstream.liveness.health();
+bool Steering::IsPresumedDead(const Upstream& upstream, SteadyTime now) {
+  const Health health = upstream.liveness.health(now);
   return health == Health::kPresumedDead ||
          (health == Health::kSuspect && upstream.is_lapsed);
 }
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -86,7 +86,7 @@
   void Observe(const FlowPacket& packet, Upstream* upstream, SteadyTime now);
   void CountUnanswered(FlowRecord* flow, SteadyTime now);
   void CountAnswered(Upstream* upstream, SteadyTime now);
-  bool IsPresumedDead(const Upstream& upstream);
+  bool IsPresumedDead(const Upstream& upstream, SteadyTime now);
   void Release(const FlowRecord& flow);
   void Attach(FlowRecord* flow, Upstream* upstream);
 
