--- a/cmake/poplarsail.cmake
+++ b/cmake/poplarsail.cmake
@@ -21,6 +21,8 @@
   # Reports copies of std::variant that are initialized (GCC 12).
   $<$<CXX_COMPILER_ID:GNU>:-Wno-maybe-uninitialized>)
 target_compile_definitions(poplarsail_flags INTERFACE
+  # Regular expressions of cxxopts would be compiled at each start.
+  CXXOPTS_NO_REGEX=1
   BOOST_ASIO_NO_DEPRECATED BOOST_BIND_GLOBAL_PLACEHOLDERS
   BOOST_ALLOW_DEPRECATED_HEADERS)
 target_link_libraries(poplarsail_flags INTERFACE Threads::Threads)
