--- a/src/libs/entry/state_follower.h
+++ b/src/libs/entry/state_follower.h
@@ -17,7 +17,7 @@
 inline constexpr std::chrono::seconds kWatchWait{25};
 // Pause after a watch that brought changes, so that one call brings several.
 // Bounds on configurations and drains are 3 s and more.
-inline constexpr belief::milliseconds kWatchPause{100};
+inline constexpr belief::milliseconds kWatchPause{300};
 // Pause after a failed call: doubled each time, with jitter of half of it.
 inline constexpr belief::milliseconds kFirstRetryPause{100};
 inline constexpr belief::milliseconds kLongestRetryPause{1'600};
