Look after answers that are overdue

Change: an opening packet without an answer after 50 ms goes to a second upstream as well, and the flow stays with the one whose tag returns first; a request without an answer after 100 ms, with none from that upstream since, makes the host try two connections to it; when both fail, flows that wait are reset and new ones go elsewhere. Response times weigh in the placement.

--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -167,6 +167,7 @@
     BeliefChanged();
   }
   m_parts->steering.Sweep(now);
+  m_parts->packets.CheckDoubted();
   m_parts->log.Flush();
 }
 
--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -53,7 +53,12 @@
              settings.packets.port,
              kPacketBatch,
              kMaxPacketBytes),
-      m_descriptor(*context, ::dup(m_port.fd())) {}
+      m_descriptor(*context, ::dup(m_port.fd())),
+      m_checker(context,
+                [this](uint64_t upstream_id, bool is_alive) {
+                  TakeCheckResult(upstream_id, is_alive);
+                }),
+      m_expectation_timer(*context) {}
 
 void PacketLoop::WaitForPackets() {
   m_descriptor.async_wait(boost::asio::posix::stream_descriptor::wait_read,
@@ -75,11 +80,71 @@
     }
     Flush();
     if (datagrams.size() < kPacketBatch) {
+      ScheduleExpectations();
       return;
     }
   }
 }
 
+void PacketLoop::ScheduleExpectations() {
+  const auto next = m_expectations.NextDeadline();
+  if (m_is_expecting || !next) {
+    return;
+  }
+  m_is_expecting = true;
+  m_expectation_timer.expires_at(*next + flows::kExpectationInterval);
+  m_expectation_timer.async_wait([this](const boost::system::error_code&) {
+    m_is_expecting = false;
+    // Answers that wait in the socket come first.
+    TakePackets();
+    CheckExpectations();
+    ScheduleExpectations();
+  });
+}
+
+void PacketLoop::CheckExpectations() {
+  const auto now = std::chrono::steady_clock::now();
+  while (const auto due = m_expectations.TakeDue(now)) {
+    const flows::OverdueDecision decision =
+        m_steering->DecideOverdue(due->packet, now);
+    if (decision.check != nullptr) {
+      StartCheck(*decision.check);
+    }
+    if (decision.resend) {
+      LogDecision(due->packet, *decision.resend);
+      Execute(due->packet, *decision.resend, due->datagram);
+      Flush();
+    }
+  }
+}
+
+void PacketLoop::StartCheck(const flows::Upstream& upstream) {
+  ++m_counts.checks;
+  m_checker.Check(upstream.record.id, upstream.record.endpoint);
+}
+
+void PacketLoop::CheckDoubted() {
+  const auto now = std::chrono::steady_clock::now();
+  for (const flows::Upstream* upstream : m_steering->DueChecks(now)) {
+    StartCheck(*upstream);
+  }
+}
+
+void PacketLoop::TakeCheckResult(uint64_t upstream_id, bool is_alive) {
+  const auto now = std::chrono::steady_clock::now();
+  const std::vector<flows::FlowPacket> ended =
+      m_steering->RecordCheck(upstream_id, is_alive, now);
+  m_counts.failed_checks += is_alive ? 0 : 1;
+  telemetry::Log(telemetry::LogLevel::kInfo, "packets",
+                 is_alive ? "upstream answers" : "upstream does not answer",
+                 {{"upstream", fmt::format("{:x}", upstream_id)},
+                  {"flows_ended", std::to_string(ended.size())}});
+  for (const flows::FlowPacket& packet : ended) {
+    Reset(packet);
+  }
+  Flush();
+}
+
 void PacketLoop::Handle(std::span<const uint8_t> datagram,
                         flows::SteadyTime now) {
   const auto packet = m_codec->Decode(datagram);
@@ -91,6 +156,9 @@
   ++m_counts.by_reason[static_cast<size_t>(decision.reason)];
   LogDecision(*packet, decision);
   Execute(*packet, decision, datagram);
+  if (decision.expects_answer) {
+    m_expectations.Add(*packet, datagram, now);
+  }
   if (decision.action == flows::Action::kHold) {
     Hold(datagram, now);
   }
@@ -108,19 +176,21 @@
                    m_codec->Data(datagram));
       return;
     }
-    case flows::Action::kReset: {
-      const PacketHead head = m_codec->EncodeReset(packet);
-      m_port.Queue(
-          model::ToEndpoint({packet.key.caller.address, m_caller_port}),
-          head.view(), {});
+    case flows::Action::kReset:
+      Reset(packet);
       return;
-    }
     case flows::Action::kDrop:
     case flows::Action::kHold:
       return;
   }
 }
 
+void PacketLoop::Reset(const flows::FlowPacket& packet) {
+  const PacketHead head = m_codec->EncodeReset(packet);
+  m_port.Queue(model::ToEndpoint({packet.key.caller.address, m_caller_port}),
+               head.view(), {});
+}
+
 void PacketLoop::Hold(std::span<const uint8_t> datagram,
                       flows::SteadyTime now) {
   if (m_held.size() >= kMaxHeldPackets) {
--- a/src/libs/entry/packet_loop.h
+++ b/src/libs/entry/packet_loop.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <deque>
 #include <span>
@@ -11,6 +12,7 @@
 
 #include "entry/entry_settings.h"
 #include "entry/flow_codec.h"
+#include "entry/upstream_checker.h"
 #include "flows/flows.h"
 #include "transport/transport.h"
 
@@ -30,6 +32,8 @@
   std::array<uint64_t, flows::kReasonCount> by_reason{};
   uint64_t malformed = 0;
   uint64_t unsent = 0;
+  uint64_t checks = 0;
+  uint64_t failed_checks = 0;
 };
 
 // Moves packets between the socket and the decisions of the steering.
@@ -40,6 +44,9 @@
              const FlowCodec* codec,
              flows::Steering* steering);
 
+  // Looks again after upstreams that are presumed dead.
+  void CheckDoubted();
+
   void Start() { WaitForPackets(); }
 
   // Decides again on packets that were held.
@@ -59,6 +66,11 @@
   void Execute(const flows::FlowPacket& packet,
                const flows::Decision& decision,
                std::span<const uint8_t> datagram);
+  void ScheduleExpectations();
+  void CheckExpectations();
+  void StartCheck(const flows::Upstream& upstream);
+  void TakeCheckResult(uint64_t upstream_id, bool is_alive);
+  void Reset(const flows::FlowPacket& packet);
   void Hold(std::span<const uint8_t> datagram, flows::SteadyTime now);
   void Flush();
 
@@ -67,6 +79,10 @@
   uint16_t m_caller_port;
   transport::UdpPacketPort m_port;
   boost::asio::posix::stream_descriptor m_descriptor;
+  UpstreamChecker m_checker;
+  flows::Expectations m_expectations;
+  boost::asio::steady_timer m_expectation_timer;
+  bool m_is_expecting = false;
   std::deque<HeldPacket> m_held;
   PacketCounts m_counts;
 };
--- a/src/libs/flows/directory.h
+++ b/src/libs/flows/directory.h
@@ -26,6 +26,11 @@
   uint32_t tag_base = 0;
   Liveness liveness;
   uint32_t open_flows = 0;
+  // Moving average of the time to the first packet of an answer.
+  double response_ms = 0;
+  SteadyTime check_started;
+  // Not to be checked again before.
+  SteadyTime next_check;
   // When the next new flow may be sent to it while it is cold.
   SteadyTime next_cold_flow;
 
--- a/src/libs/flows/flow_table.cc
+++ b/src/libs/flows/flow_table.cc
@@ -15,6 +15,13 @@
   return &m_records[key];
 }
 
+void FlowTable::ForEach(
+    const std::function<void(const FlowKey&, FlowRecord*)>& visit) {
+  for (auto& [key, record] : m_records) {
+    visit(key, &record);
+  }
+}
+
 void FlowTable::EraseIdle(
     SteadyTime oldest,
     const std::function<void(const FlowRecord&)>& removed) {
--- a/src/libs/flows/flow_table.h
+++ b/src/libs/flows/flow_table.h
@@ -39,6 +39,8 @@
   FlowRecord* FindOrCreate(const FlowKey& key);
   void Erase(const FlowKey& key) { m_records.erase(key); }
 
+  void ForEach(const std::function<void(const FlowKey&, FlowRecord*)>& visit);
+
   // Removes records without packets since `oldest` and calls `removed` for
   // each.
   void EraseIdle(SteadyTime oldest,
--- a/src/libs/flows/flows.h
+++ b/src/libs/flows/flows.h
@@ -3,6 +3,7 @@
 #define FLOWS_FLOWS_H_
 
 #include "flows/directory.h"
+#include "flows/expectations.h"
 #include "flows/flow_packet.h"
 #include "flows/flow_table.h"
 #include "flows/liveness.h"
--- a/src/libs/flows/liveness.cc
+++ b/src/libs/flows/liveness.cc
@@ -1,5 +1,7 @@
 #include "flows/liveness.h"
 
+#include <algorithm>
+
 namespace poplarsail::flows {
 
 void Liveness::RecordAnswer(SteadyTime now) {
@@ -19,6 +21,13 @@
   m_next_probe = now + kProbationDelay;
 }
 
+void Liveness::RecordFailedCheck(SteadyTime now) {
+  m_unanswered = std::max(m_unanswered, kPresumedDeadAttempts);
+  m_first_unanswered = std::min(m_first_unanswered, now - kPresumedDeadSpan);
+  m_last_unanswered = now;
+  m_next_probe = now + kProbationDelay;
+}
+
 Health Liveness::health(SteadyTime now) const {
   if (m_unanswered < kSuspectAttempts) {
     return Health::kGood;
--- a/src/libs/flows/liveness.h
+++ b/src/libs/flows/liveness.h
@@ -37,6 +37,9 @@
   // An attempt that began at `sent` has had no answer until `now`.
   void RecordUnanswered(SteadyTime sent, SteadyTime now);
 
+  // A check that does not depend on packets of flows failed.
+  void RecordFailedCheck(SteadyTime now);
+
   Health health(SteadyTime now) const;
 
   // Whether an attempt may be risked: in good health, or as the one attempt
--- a/src/libs/flows/local_first_placement.cc
+++ b/src/libs/flows/local_first_placement.cc
@@ -12,6 +12,10 @@
 // of a local upstream: remote answers cross a priced, slower link.
 constexpr double kRemoteFactor = 2.5;
 constexpr double kRemoteFlows = 1.5;
+// Response times are compared with this one at the least, and a slow upstream
+// counts as this many times slower at the most.
+constexpr double kUsualResponseMs = 40.0;
+constexpr double kMaxSlowFactor = 8.0;
 // A cold upstream is slower by about this factor for its first seconds.
 constexpr double kColdFactor = 3.0;
 // An upstream whose registration lapsed is used when no other is left.
@@ -40,6 +44,8 @@
   if (upstream.record.failure_domain != m_failure_domain) {
     cost = kRemoteFactor * (cost + kRemoteFlows);
   }
+  cost *=
+      std::clamp(upstream.response_ms / kUsualResponseMs, 1.0, kMaxSlowFactor);
   if (upstream.IsCold(now)) {
     cost *= kColdFactor;
   }
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -79,7 +79,7 @@
     flow->sequence_end = packet.sequence + 1;
   }
   return {Action::kForward, is_copy ? Reason::kPlacedAgain : Reason::kPlaced,
-          chosen, MakeTag(packet.key.listener, chosen->tag_base)};
+          chosen, MakeTag(packet.key.listener, chosen->tag_base), true};
 }
 
 Decision Steering::DecideTagged(const FlowPacket& packet, SteadyTime now) {
@@ -88,11 +88,32 @@
   if (upstream == nullptr) {
     return DecideUntagged(packet, now);
   }
-  Observe(packet, upstream, now);
+  upstream = PinnedUpstream(packet, upstream);
+  const bool expects_answer = Observe(packet, upstream, now);
   if (IsPresumedDead(*upstream, now) && !packet.is_reset) {
     return {Action::kReset, Reason::kUpstreamDead, upstream};
   }
-  return {Action::kForward, Reason::kTagged, upstream, packet.tag};
+  return {Action::kForward, Reason::kTagged, upstream,
+          MakeTag(listener, upstream->tag_base), expects_answer};
+}
+
+Upstream* Steering::PinnedUpstream(const FlowPacket& packet, Upstream* tagged) {
+  // Two upstreams may have answered copies of one opening packet. The flow is
+  // open at the one whose tag came back first; the other's is a late answer.
+  FlowRecord* flow = m_flows.Find(packet.key);
+  const bool is_doubled = flow != nullptr && flow->earlier_upstream_id != 0;
+  if (!is_doubled || tagged->record.id == flow->upstream_id ||
+      tagged->record.id != flow->earlier_upstream_id) {
+    return tagged;
+  }
+  if (!flow->is_open) {
+    const uint64_t later = flow->upstream_id;
+    Attach(flow, tagged);
+    flow->earlier_upstream_id = later;
+    return tagged;
+  }
+  Upstream* pinned = m_directory.FindUpstream(flow->upstream_id);
+  return pinned == nullptr ? tagged : pinned;
 }
 
 Decision Steering::DecideUntagged(const FlowPacket& packet, SteadyTime now) {
@@ -149,12 +170,12 @@
   return chosen != nullptr ? chosen : fallback;
 }
 
-void Steering::Observe(const FlowPacket& packet,
+bool Steering::Observe(const FlowPacket& packet,
                        Upstream* upstream,
                        SteadyTime now) {
   FlowRecord* flow = m_flows.FindOrCreate(packet.key);
   if (flow == nullptr) {
-    return;
+    return false;
   }
   const bool is_first = flow->upstream_id != upstream->record.id;
   if (is_first) {
@@ -165,11 +186,12 @@
   flow->last_packet = now;
   const uint32_t end =
       packet.sequence + static_cast<uint32_t>(packet.data_bytes);
+  // A caller sends without data only to acknowledge what it just received.
   const bool is_answer =
-      is_first ? false
-               : !flow->is_open || packet.acknowledged != flow->acknowledged;
+      !is_first && (!flow->is_open || packet.data_bytes == 0 ||
+                    packet.acknowledged != flow->acknowledged);
   if (is_answer) {
-    CountAnswered(upstream, now);
+    CountAnswered(*flow, upstream, now);
     flow->is_waiting = false;
   }
   const bool has_new_data =
@@ -188,7 +210,9 @@
   if (packet.is_closing || packet.is_reset) {
     Release(*flow);
     m_flows.Erase(packet.key);
+    return false;
   }
+  return has_new_data;
 }
 
 void Steering::CountUnanswered(FlowRecord* flow, SteadyTime now) {
@@ -205,11 +229,108 @@
       .RecordUnanswered(flow->waiting_since, now);
 }
 
-void Steering::CountAnswered(Upstream* upstream, SteadyTime now) {
+void Steering::CountAnswered(const FlowRecord& flow,
+                             Upstream* upstream,
+                             SteadyTime now) {
+  if (flow.is_waiting && flow.is_open) {
+    const std::chrono::duration<double, std::milli> response =
+        now - flow.waiting_since;
+    upstream->response_ms +=
+        kResponseWeight * (response.count() - upstream->response_ms);
+  }
   upstream->liveness.RecordAnswer(now);
   m_directory.DomainLiveness(upstream->record.failure_domain).RecordAnswer(now);
 }
 
+OverdueDecision Steering::DecideOverdue(const FlowPacket& packet,
+                                        SteadyTime now) {
+  FlowRecord* flow = m_flows.Find(packet.key);
+  if (flow == nullptr || !flow->is_waiting ||
+      flow->is_open == packet.is_opening) {
+    return {};
+  }
+  Upstream* upstream = m_directory.FindUpstream(flow->upstream_id);
+  if (upstream == nullptr ||
+      upstream->liveness.last_answer() >= flow->waiting_since) {
+    return {};
+  }
+  OverdueDecision decision;
+  decision.check = StartCheck(upstream, now) ? upstream : nullptr;
+  const Listener* listener = m_directory.FindListener(packet.key.listener);
+  const bool may_resend = packet.is_opening && listener != nullptr &&
+                          flow->earlier_upstream_id == 0;
+  if (!may_resend) {
+    return decision;
+  }
+  const PlacementRequest request{
+      listener, ChooseService(packet, *listener), {flow->upstream_id}, now};
+  Upstream* other =
+      request.service == nullptr ? nullptr : m_placement->Choose(request);
+  if (other == nullptr) {
+    return decision;
+  }
+  flow->earlier_upstream_id = flow->upstream_id;
+  Attach(flow, other);
+  flow->waiting_since = now;
+  decision.resend = Decision{Action::kForward, Reason::kPlacedAgain, other,
+                             MakeTag(packet.key.listener, other->tag_base)};
+  return decision;
+}
+
+bool Steering::StartCheck(Upstream* upstream, SteadyTime now) {
+  if (now < upstream->next_check) {
+    return false;
+  }
+  upstream->next_check = now + kCheckInterval;
+  upstream->check_started = now;
+  return true;
+}
+
+std::vector<FlowPacket> Steering::RecordCheck(uint64_t upstream_id,
+                                              bool is_alive,
+                                              SteadyTime now) {
+  Upstream* upstream = m_directory.FindUpstream(upstream_id);
+  if (upstream == nullptr) {
+    return {};
+  }
+  Liveness& domain =
+      m_directory.DomainLiveness(upstream->record.failure_domain);
+  if (is_alive) {
+    upstream->liveness.RecordAnswer(now);
+    domain.RecordAnswer(now);
+    return {};
+  }
+  const bool is_refuted =
+      upstream->liveness.last_answer() >= upstream->check_started;
+  if (is_refuted) {
+    return {};
+  }
+  upstream->liveness.RecordFailedCheck(now);
+  std::vector<FlowPacket> ended;
+  m_flows.ForEach([&](const FlowKey& key, FlowRecord* flow) {
+    if (flow->upstream_id != upstream_id || !flow->is_waiting) {
+      return;
+    }
+    FlowPacket packet;
+    packet.key = key;
+    packet.acknowledged = flow->acknowledged;
+    ended.push_back(packet);
+    flow->is_waiting = false;
+  });
+  return ended;
+}
+
+std::vector<const Upstream*> Steering::DueChecks(SteadyTime now) {
+  std::vector<const Upstream*> due;
+  for (const auto& [id, upstream] : m_directory.upstreams()) {
+    const bool is_doubted = upstream->liveness.health(now) != Health::kGood;
+    if (is_doubted && StartCheck(upstream.get(), now)) {
+      due.push_back(upstream.get());
+    }
+  }
+  return due;
+}
+
 bool Steering::IsPresumedDead(const Upstream& upstream, SteadyTime now) {
   const Health health = upstream.liveness.health(now);
   return health == Health::kPresumedDead ||
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -5,7 +5,9 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string_view>
+#include <vector>
 
 #include "belief/belief.h"
 #include "flows/directory.h"
@@ -58,8 +60,23 @@
   Reason reason = Reason::kNoTag;
   const Upstream* upstream = nullptr;
   uint32_t tag = 0;
+  // Ask again once the flow should have shown an answer.
+  bool expects_answer = false;
 };
 
+// What to do about a packet that has had no answer in time.
+struct OverdueDecision {
+  // Where to send a copy of the opening packet.
+  std::optional<Decision> resend;
+  // The upstream that should be checked.
+  const Upstream* check = nullptr;
+};
+
+// An upstream is checked at most this often.
+inline constexpr milliseconds kCheckInterval{1'000};
+// Weight of a new response time in the moving average.
+inline constexpr double kResponseWeight = 0.15;
+
 class Steering {
  public:
   explicit Steering(std::unique_ptr<Placement> placement);
@@ -69,6 +86,18 @@
 
   Decision Decide(const FlowPacket& packet, SteadyTime now);
 
+  // An answer that `packet` should have had until now.
+  OverdueDecision DecideOverdue(const FlowPacket& packet, SteadyTime now);
+
+  // The result of checking an upstream. Returns, as the packets that they wait
+  // with, the flows to reset at once, since their upstream is gone.
+  std::vector<FlowPacket> RecordCheck(uint64_t upstream_id,
+                                      bool is_alive,
+                                      SteadyTime now);
+
+  // The upstreams that are presumed dead and should be checked again.
+  std::vector<const Upstream*> DueChecks(SteadyTime now);
+
   // Forgets flows that ended or fell silent; call about once a second.
   void Sweep(SteadyTime now);
 
@@ -83,9 +112,14 @@
   Decision DecideUntagged(const FlowPacket& packet, SteadyTime now);
   const Service* ChooseService(const FlowPacket& packet,
                                const Listener& listener) const;
-  void Observe(const FlowPacket& packet, Upstream* upstream, SteadyTime now);
+  // Returns whether the packet begins to wait for an answer.
+  bool Observe(const FlowPacket& packet, Upstream* upstream, SteadyTime now);
+  Upstream* PinnedUpstream(const FlowPacket& packet, Upstream* tagged);
+  bool StartCheck(Upstream* upstream, SteadyTime now);
   void CountUnanswered(FlowRecord* flow, SteadyTime now);
-  void CountAnswered(Upstream* upstream, SteadyTime now);
+  void CountAnswered(const FlowRecord& flow,
+                     Upstream* upstream,
+                     SteadyTime now);
   bool IsPresumedDead(const Upstream& upstream, SteadyTime now);
   void Release(const FlowRecord& flow);
   void Attach(FlowRecord* flow, Upstream* upstream);
