Test beliefs, flow decisions, the adapter and the follower; mend what they found

Found by the tests, each failed first: a registration removed by a list came back with an entry of the same revision; a request that also acknowledges the answer before it never counted as unanswered, so that the first request of each flow was not looked after. The platform's store gets a stand-in with refusals, silence, resets, lost answers and compaction.

--- a/src/libs/belief/belief.cc
+++ b/src/libs/belief/belief.cc
@@ -18,11 +18,7 @@
 }
 
 void Belief::Apply(const UpstreamEntry& entry, SteadyTime now) {
-  const bool changed = m_upstream_set.Put(entry);
-  if (!changed && !m_lapse_deadlines.contains(entry.name)) {
-    return;
-  }
-  if (m_upstream_set.Find(entry.name)->revision != entry.revision) {
+  if (!m_upstream_set.Put(entry)) {
     return;
   }
   if (!entry.value) {
--- a/src/libs/flows/liveness.cc
+++ b/src/libs/flows/liveness.cc
@@ -10,7 +10,8 @@
 }
 
 void Liveness::RecordUnanswered(SteadyTime sent, SteadyTime now) {
-  if (m_last_answer >= sent) {
+  // A packet may both acknowledge an answer and begin a wait.
+  if (m_last_answer > sent) {
     return;
   }
   if (m_unanswered == 0) {
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -251,7 +251,7 @@
   }
   Upstream* upstream = m_directory.FindUpstream(flow->upstream_id);
   if (upstream == nullptr ||
-      upstream->liveness.last_answer() >= flow->waiting_since) {
+      upstream->liveness.last_answer() > flow->waiting_since) {
     return {};
   }
   OverdueDecision decision;
--- /dev/null
+++ b/tests/auto/entry/tst_state_follower.cc
@@ -0,0 +1,162 @@
+#include <catch2/catch.hpp>
+
+#include "entry/state_follower.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <deque>
+#include <functional>
+#include <string>
+
+#include "objects/objects.h"
+
+namespace poplarsail::entry {
+namespace {
+
+using belief::Belief;
+using belief::Kind;
+
+// Answers calls from a script; waits for ever once it has ended.
+class ScriptedStore : public StateStore {
+ public:
+  using Step = std::function<StateBatch(uint64_t from)>;
+
+  explicit ScriptedStore(boost::asio::io_context* context)
+      : m_timer(*context) {}
+
+  void Then(Step step) { m_steps.push_back(std::move(step)); }
+
+  boost::asio::awaitable<StateBatch> List(Kind) override {
+    ++lists;
+    co_return co_await Next(0);
+  }
+  boost::asio::awaitable<StateBatch> Watch(Kind,
+                                           uint64_t from,
+                                           belief::SteadyTime) override {
+    ++watches;
+    co_return co_await Next(from);
+  }
+  boost::asio::awaitable<void> Announce(const belief::PeerRecord&) override {
+    co_return;
+  }
+  boost::asio::awaitable<void> Withdraw(const std::string&) override {
+    co_return;
+  }
+
+  bool HasEnded() const { return m_has_ended; }
+
+  int lists = 0;
+  int watches = 0;
+
+ private:
+  boost::asio::awaitable<StateBatch> Next(uint64_t from) {
+    if (m_steps.empty()) {
+      m_has_ended = true;
+      m_timer.expires_at(belief::SteadyTime::max());
+      co_await m_timer.async_wait(boost::asio::use_awaitable);
+    }
+    const Step step = m_steps.front();
+    m_steps.pop_front();
+    co_return step(from);
+  }
+
+  std::deque<Step> m_steps;
+  boost::asio::steady_timer m_timer;
+  bool m_has_ended = false;
+};
+
+BeliefEntry Upstream(uint64_t id, uint64_t revision) {
+  belief::UpstreamRecord record;
+  record.id = id;
+  return Belief::UpstreamEntry{std::to_string(id), revision, record};
+}
+
+struct FollowerFixture {
+  FollowerFixture()
+      : follower(&context, &store, Kind::kUpstreams, &belief, [this]() {
+          ++changes;
+        }) {}
+
+  void RunScript() {
+    boost::asio::co_spawn(context, follower.Run(), boost::asio::detached);
+    while (!store.HasEnded()) {
+      REQUIRE(context.run_one() > 0);
+    }
+  }
+
+  boost::asio::io_context context;
+  ScriptedStore store{&context};
+  Belief belief;
+  int changes = 0;
+  StateFollower follower;
+};
+
+TEST_CASE("A list is followed by watches from where it ended") {
+  FollowerFixture fixture;
+  fixture.store.Then([](uint64_t) { return StateBatch{{Upstream(1, 5)}, 7}; });
+  fixture.store.Then([](uint64_t from) {
+    CHECK(from == 7);
+    return StateBatch{{Upstream(2, 9)}, 9};
+  });
+  fixture.store.Then([](uint64_t from) {
+    CHECK(from == 9);
+    return StateBatch{{}, 12};
+  });
+  fixture.RunScript();
+  CHECK(fixture.belief.upstreams().size() == 2);
+  CHECK(fixture.store.lists == 1);
+  // A watch without changes tells nobody.
+  CHECK(fixture.changes == 2);
+  CHECK(fixture.belief.listed_revision(Kind::kUpstreams) == 12);
+}
+
+TEST_CASE("Where history is gone it lists anew and keeps what it knew") {
+  FollowerFixture fixture;
+  fixture.store.Then([](uint64_t) {
+    return StateBatch{{Upstream(1, 5), Upstream(2, 6)}, 7};
+  });
+  fixture.store.Then([&fixture](uint64_t) -> StateBatch {
+    CHECK(fixture.belief.upstreams().size() == 2);
+    throw objects::CompactedError("gone");
+  });
+  fixture.store.Then([&fixture](uint64_t) {
+    CHECK(fixture.belief.upstreams().size() == 2);
+    return StateBatch{{Upstream(1, 5)}, 20};
+  });
+  fixture.RunScript();
+  CHECK(fixture.store.lists == 2);
+  CHECK(fixture.belief.upstreams().at("2").is_lapsed);
+}
+
+TEST_CASE("While the store is away the belief stays and watching resumes") {
+  FollowerFixture fixture;
+  fixture.store.Then([](uint64_t) { return StateBatch{{Upstream(1, 5)}, 7}; });
+  for (int i = 0; i < 3; ++i) {
+    fixture.store.Then([](uint64_t) -> StateBatch {
+      throw objects::UnavailableError("status 503");
+    });
+  }
+  fixture.store.Then([&fixture](uint64_t from) {
+    CHECK(from == 7);
+    CHECK(fixture.belief.upstreams().size() == 1);
+    return StateBatch{{Upstream(2, 9)}, 9};
+  });
+  fixture.RunScript();
+  CHECK(fixture.store.lists == 1);
+  CHECK(fixture.belief.upstreams().size() == 2);
+}
+
+TEST_CASE("A stale answer never takes the position back") {
+  FollowerFixture fixture;
+  fixture.store.Then([](uint64_t) { return StateBatch{{Upstream(1, 5)}, 20}; });
+  fixture.store.Then([](uint64_t) { return StateBatch{{}, 12}; });
+  fixture.store.Then([](uint64_t from) {
+    CHECK(from == 20);
+    return StateBatch{{}, 21};
+  });
+  fixture.RunScript();
+  CHECK(fixture.store.watches == 3);
+}
+
+}  // namespace
+}  // namespace poplarsail::entry
--- /dev/null
+++ b/tests/auto/flows/flow_fixture.h
@@ -0,0 +1,145 @@
+#ifndef TESTS_FLOWS_FLOW_FIXTURE_H_
+#define TESTS_FLOWS_FLOW_FIXTURE_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "flows/flows.h"
+
+namespace poplarsail::flows {
+
+using namespace std::chrono_literals;
+
+inline const SteadyTime kStart{1'000s};
+inline constexpr Ipv4Endpoint kTallyListener{0xc6120001, 8443};
+inline constexpr Ipv4Endpoint kArchiveListener{0xc6120002, 8443};
+
+// A belief with services tally and archive, and what steers by it.
+class FlowFixture {
+ public:
+  FlowFixture() {
+    m_configuration.version = 1;
+    m_configuration.flow_idle_timeout = 15s;
+    m_configuration.services = {{"tally", 0, "/health"},
+                                {"archive", 0, "/health"}};
+    m_configuration.listeners = {
+        {"alerts", kTallyListener, {{"tally", 1}}},
+        {"sheets", kArchiveListener, {{"archive", 1}}}};
+    ApplyConfiguration();
+    belief.ApplyList<belief::TakeOut>(belief::Kind::kTakeOuts, {}, 1, now);
+    belief.ApplyList<belief::UpstreamRecord>(belief::Kind::kUpstreams, {}, 1,
+                                             now);
+    Update();
+  }
+
+  static belief::UpstreamRecord MakeUpstream(uint64_t id,
+                                             const std::string& service,
+                                             const std::string& domain) {
+    belief::UpstreamRecord record;
+    record.id = id;
+    record.service = service;
+    record.endpoint = {0x0a010000 + static_cast<uint32_t>(id), 8080};
+    record.failure_domain = domain;
+    return record;
+  }
+
+  void AddUpstream(uint64_t id,
+                   const std::string& service = "tally",
+                   const std::string& domain = "regina") {
+    PutUpstream(MakeUpstream(id, service, domain));
+  }
+
+  void PutUpstream(const belief::UpstreamRecord& record) {
+    belief.Apply(
+        belief::Belief::UpstreamEntry{Name(record.id), ++m_revision, record},
+        now);
+    Update();
+  }
+
+  void RemoveUpstream(uint64_t id) {
+    belief.Apply(
+        belief::Belief::UpstreamEntry{Name(id), ++m_revision, std::nullopt},
+        now);
+    Update();
+  }
+
+  void TakeOut(const std::string& domain) {
+    belief.Apply(belief::Belief::TakeOutEntry{domain, ++m_revision,
+                                              belief::TakeOut{domain}},
+                 now);
+    Update();
+  }
+
+  void ApplyConfiguration() {
+    const belief::Belief::ConfigurationEntry entry{"main", ++m_revision,
+                                                   m_configuration};
+    belief.ApplyList<belief::Configuration>(belief::Kind::kConfiguration,
+                                            {entry}, m_revision, now);
+    Update();
+  }
+
+  belief::Configuration& EditConfiguration() {
+    ++m_configuration.version;
+    return m_configuration;
+  }
+
+  void Update() { steering.Update(belief, now); }
+
+  static FlowKey Key(uint16_t port, const Ipv4Endpoint& listener) {
+    return {{0x64400001, port}, listener};
+  }
+
+  static FlowPacket Opening(uint16_t port,
+                            const Ipv4Endpoint& listener = kTallyListener,
+                            uint32_t copy = 0) {
+    FlowPacket packet;
+    packet.key = Key(port, listener);
+    packet.is_opening = true;
+    packet.copy_number = copy;
+    packet.sequence = 100;
+    return packet;
+  }
+
+  static FlowPacket Data(uint16_t port,
+                         uint32_t tag,
+                         uint32_t sequence,
+                         uint32_t acknowledged,
+                         const Ipv4Endpoint& listener = kTallyListener) {
+    FlowPacket packet;
+    packet.key = Key(port, listener);
+    packet.sequence = sequence;
+    packet.acknowledged = acknowledged;
+    packet.tag = tag;
+    packet.data_bytes = 150;
+    return packet;
+  }
+
+  // Opens a flow and sends its first request. Returns the decision on it.
+  Decision OpenFlow(uint16_t port) {
+    const Decision placed = steering.Decide(Opening(port), now);
+    now += 3ms;
+    return steering.Decide(Data(port, placed.tag, 101, 500), now);
+  }
+
+  // The caller acknowledges the answer to its first request.
+  void Answer(uint16_t port, uint32_t tag) {
+    FlowPacket packet = Data(port, tag, 251, 900);
+    packet.data_bytes = 0;
+    steering.Decide(packet, now);
+  }
+
+  SteadyTime now = kStart;
+  belief::Belief belief;
+  Steering steering{std::make_unique<LocalFirstPlacement>("regina", 1)};
+
+ private:
+  static std::string Name(uint64_t id) { return "u" + std::to_string(id); }
+
+  belief::Configuration m_configuration;
+  uint64_t m_revision = 1;
+};
+
+}  // namespace poplarsail::flows
+
+#endif  // TESTS_FLOWS_FLOW_FIXTURE_H_
--- /dev/null
+++ b/tests/auto/flows/tst_placement.cc
@@ -0,0 +1,115 @@
+#include <catch2/catch.hpp>
+
+#include <map>
+
+#include "flow_fixture.h"
+
+namespace poplarsail::flows {
+namespace {
+
+// Opens `count` flows that stay open and returns how many each upstream got.
+std::map<uint64_t, int> PlaceFlows(FlowFixture* fixture, uint16_t count) {
+  std::map<uint64_t, int> placed;
+  for (uint16_t port = 1; port <= count; ++port) {
+    const Decision decision =
+        fixture->steering.Decide(FlowFixture::Opening(port), fixture->now);
+    if (decision.action == Action::kForward) {
+      ++placed[decision.upstream->record.id];
+    }
+    fixture->now += 1ms;
+  }
+  return placed;
+}
+
+TEST_CASE("Long flows spread evenly over the upstreams of the own domain") {
+  FlowFixture fixture;
+  for (uint64_t id = 1; id <= 5; ++id) {
+    fixture.AddUpstream(id);
+  }
+  fixture.AddUpstream(9, "tally", "brandon");
+  const auto placed = PlaceFlows(&fixture, 100);
+  for (uint64_t id = 1; id <= 5; ++id) {
+    CHECK(placed.at(id) >= 16);
+    CHECK(placed.at(id) <= 22);
+  }
+}
+
+TEST_CASE("Flows spill over before the last local upstream is overrun") {
+  FlowFixture fixture;
+  fixture.AddUpstream(1);
+  for (uint64_t id = 2; id <= 9; ++id) {
+    fixture.AddUpstream(id, "tally", "brandon");
+  }
+  const auto placed = PlaceFlows(&fixture, 60);
+  CHECK(placed.at(1) < 25);
+  CHECK(placed.at(1) > 8);
+}
+
+TEST_CASE("No local upstream left: all flows go to other domains") {
+  FlowFixture fixture;
+  fixture.AddUpstream(1, "tally", "brandon");
+  fixture.AddUpstream(2, "tally", "saskatoon");
+  const auto placed = PlaceFlows(&fixture, 20);
+  CHECK(placed.at(1) + placed.at(2) == 20);
+}
+
+TEST_CASE("Upstreams that drain or are taken out get no new flow") {
+  FlowFixture fixture;
+  fixture.AddUpstream(1);
+  auto draining = FlowFixture::MakeUpstream(2, "tally", "regina");
+  draining.phase = belief::UpstreamPhase::kDraining;
+  fixture.PutUpstream(draining);
+  fixture.AddUpstream(3, "tally", "brandon");
+  fixture.TakeOut("brandon");
+  const auto placed = PlaceFlows(&fixture, 20);
+  CHECK(placed == std::map<uint64_t, int>{{1, 20}});
+}
+
+TEST_CASE("A lapsed upstream is used only when no other is left") {
+  FlowFixture fixture;
+  fixture.AddUpstream(1);
+  fixture.AddUpstream(2, "tally", "brandon");
+  fixture.RemoveUpstream(1);
+  SECTION("another is left") {
+    CHECK(PlaceFlows(&fixture, 20) == std::map<uint64_t, int>{{2, 20}});
+  }
+  SECTION("all registrations vanished, as in an outage of the store") {
+    fixture.RemoveUpstream(2);
+    CHECK(PlaceFlows(&fixture, 20).size() == 2);
+  }
+}
+
+TEST_CASE("A slow upstream gets fewer flows") {
+  FlowFixture fixture;
+  fixture.AddUpstream(1);
+  fixture.AddUpstream(2);
+  fixture.steering.directory().FindUpstream(1)->response_ms = 200;
+  fixture.steering.directory().FindUpstream(2)->response_ms = 20;
+  const auto placed = PlaceFlows(&fixture, 60);
+  CHECK(placed.at(1) <= 15);
+}
+
+TEST_CASE("Cold upstreams get no more flows than they bear, over all hosts") {
+  // Load pattern: a domain comes back cold and every host sees it as empty.
+  FlowFixture fixture;
+  fixture.EditConfiguration().services[0].cold_flows_per_second = 10;
+  fixture.ApplyConfiguration();
+  auto cold = FlowFixture::MakeUpstream(1, "tally", "regina");
+  cold.cold_until = kStart + 10s;
+  fixture.PutUpstream(cold);
+  auto placement = std::make_unique<LocalFirstPlacement>("regina", 1);
+  placement->set_host_count(5);
+  Steering steering(std::move(placement));
+  steering.Update(fixture.belief, kStart);
+  int placed = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    const Decision decision = steering.Decide(
+        FlowFixture::Opening(static_cast<uint16_t>(i + 1)), kStart + i * 1ms);
+    placed += decision.action == Action::kForward ? 1 : 0;
+  }
+  // 10 a second over 5 hosts.
+  CHECK(placed == 2);
+}
+
+}  // namespace
+}  // namespace poplarsail::flows
--- /dev/null
+++ b/tests/auto/platform/tst_state_records.cc
@@ -0,0 +1,178 @@
+#include <catch2/catch.hpp>
+
+#include "platform/state_records.h"
+
+namespace poplarsail::platform {
+namespace {
+
+using belief::Kind;
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+const belief::SteadyTime kNow{1'000s};
+
+json Object(const std::string& name, json spec) {
+  return {{"meta", {{"name", name}, {"revision", 7}}},
+          {"spec", std::move(spec)}};
+}
+
+json UpstreamSpec() {
+  return json::parse(R"({"service":"huvo11a","address":"10.128.0.9:8080",
+    "zone":"regina","version":"v1","slots":2,"state":"ready",
+    "cold_left_ms":1500,"seq":4,"born":1700000000000})");
+}
+
+json ConfigurationSpec() {
+  return json::parse(R"({"version":7,"routes":[
+    {"name":"r-a","host":"198.18.0.1","path_prefix":"/8443/","type":"safe",
+     "timeout_ms":500,"aim_ms":120,"priority":2,"backends":[
+       {"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10},
+       {"service":"none","weight":0}],"max_attempts":2},
+    {"name":"r-b","host":"198.18.0.2","path_prefix":"/8080/","type":"unsafe",
+     "timeout_ms":600,"aim_ms":150,"priority":1,"service":"huvo11a"}],
+   "services":[{"name":"huvo11a","health_path":"/health","max_conns":2000,
+     "protocol":"h1","tls":false,"cold_start_s":2.0,"cold_per_s":4.5}],
+   "limits":{"max_header_bytes":1,"max_body_bytes":1,"header_timeout_ms":1,
+     "idle_timeout_ms":15000}})");
+}
+
+TEST_CASE("An upstream's registration is decoded") {
+  const auto entry = std::get<belief::Belief::UpstreamEntry>(DecodeObject(
+      Kind::kUpstreams, Object("i-7f3a91c2", UpstreamSpec()), kNow));
+  CHECK(entry.name == "i-7f3a91c2");
+  CHECK(entry.revision == 7);
+  REQUIRE(entry.value.has_value());
+  CHECK(entry.value->id == 0x7f3a91c2);
+  CHECK(entry.value->service == "huvo11a");
+  CHECK(model::ToString(entry.value->endpoint) == "10.128.0.9:8080");
+  CHECK(entry.value->failure_domain == "regina");
+  CHECK(entry.value->phase == belief::UpstreamPhase::kServing);
+  CHECK(entry.value->cold_until == kNow + 1500ms);
+  CHECK(entry.value->started_unix_ms == 1700000000000);
+}
+
+TEST_CASE("A registration of a foreign writer names no upstream") {
+  json spec = UpstreamSpec();
+  SECTION("no service") {
+    spec.erase("service");
+  }
+  SECTION("no address") {
+    spec.erase("address");
+  }
+  SECTION("the address is no endpoint") {
+    spec["address"] = "10.1.2.3";
+  }
+  SECTION("the port is out of range") {
+    spec["address"] = "10.1.2.3:70000";
+  }
+  SECTION("an address of another family") {
+    spec["address"] = "[::1]:80";
+  }
+  SECTION("the zone is a number") {
+    spec["zone"] = 4;
+  }
+  SECTION("an unknown state") {
+    spec["state"] = "resting";
+  }
+  SECTION("the state is null") {
+    spec["state"] = nullptr;
+  }
+  SECTION("the slots are text") {
+    spec["slots"] = "2";
+  }
+  SECTION("the slots are a fraction") {
+    spec["slots"] = 2.5;
+  }
+  SECTION("no remaining cold start") {
+    spec.erase("cold_left_ms");
+  }
+  SECTION("the remaining cold start is a list") {
+    spec["cold_left_ms"] = json::array();
+  }
+  SECTION("no version") {
+    spec.erase("version");
+  }
+  SECTION("no sequence") {
+    spec.erase("seq");
+  }
+  SECTION("a list") {
+    spec = json::array();
+  }
+  SECTION("a string") {
+    spec = "ready";
+  }
+  SECTION("null") {
+    spec = nullptr;
+  }
+  CHECK_THROWS_AS(
+      DecodeObject(Kind::kUpstreams, Object("i-7f3a91c2", spec), kNow),
+      MalformedObject);
+}
+
+TEST_CASE("A name without an id names no upstream") {
+  const std::string name = GENERATE("", "xyz", "i-11112222333344445");
+  CHECK_THROWS_AS(
+      DecodeObject(Kind::kUpstreams, Object(name, UpstreamSpec()), kNow),
+      MalformedObject);
+}
+
+TEST_CASE("The configuration is decoded") {
+  const auto entry = std::get<belief::Belief::ConfigurationEntry>(DecodeObject(
+      Kind::kConfiguration, Object("main", ConfigurationSpec()), kNow));
+  REQUIRE(entry.value.has_value());
+  CHECK(entry.value->version == 7);
+  REQUIRE(entry.value->listeners.size() == 2);
+  const belief::ListenerRecord& listener = entry.value->listeners[0];
+  CHECK(model::ToString(listener.endpoint) == "198.18.0.1:8443");
+  CHECK(listener.shares ==
+        std::vector<belief::ServiceShare>{{"huvo11a", 90}, {"wuno96b", 10}});
+  CHECK(entry.value->listeners[1].shares ==
+        std::vector<belief::ServiceShare>{{"huvo11a", 1}});
+  REQUIRE(entry.value->services.size() == 1);
+  CHECK(entry.value->services[0].cold_flows_per_second == 4.5);
+  CHECK(entry.value->flow_idle_timeout == 15s);
+}
+
+TEST_CASE("A configuration that can't be used is refused whole") {
+  json spec = ConfigurationSpec();
+  SECTION("no version") {
+    spec.erase("version");
+  }
+  SECTION("no routes") {
+    spec.erase("routes");
+  }
+  SECTION("a route without address") {
+    spec["routes"][0].erase("host");
+  }
+  SECTION("a route with a name for its address") {
+    spec["routes"][0]["host"] = "tally.example";
+  }
+  SECTION("a route without port") {
+    spec["routes"][0]["path_prefix"] = "//";
+  }
+  SECTION("a share without service") {
+    spec["routes"][0]["backends"][0].erase("service");
+  }
+  SECTION("no limits") {
+    spec.erase("limits");
+  }
+  CHECK_THROWS_AS(
+      DecodeObject(Kind::kConfiguration, Object("main", spec), kNow),
+      MalformedObject);
+}
+
+TEST_CASE("A take-out names its failure domain") {
+  const auto entry = std::get<belief::Belief::TakeOutEntry>(
+      DecodeObject(Kind::kTakeOuts, Object("regina", json::object()), kNow));
+  CHECK(entry.value->failure_domain == "regina");
+}
+
+TEST_CASE("Entry hosts are written as they are read") {
+  const belief::PeerRecord peer{"front-1", "regina", {0x0a010203, 8166}};
+  const auto entry = std::get<belief::Belief::PeerEntry>(
+      DecodeObject(Kind::kPeers, Object("front-1", EncodePeer(peer)), kNow));
+  CHECK(entry.value == peer);
+}
+
+}  // namespace
+}  // namespace poplarsail::platform
--- /dev/null
+++ b/tests/auto/platform/tst_store_state.cc
@@ -0,0 +1,203 @@
+#include <catch2/catch.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <exception>
+#include <functional>
+#include <optional>
+
+#include "objects/objects.h"
+#include "platform/store_state.h"
+#include "standins/platform_store.h"
+
+namespace poplarsail::platform {
+namespace {
+
+using belief::Kind;
+using nlohmann::json;
+using standins::PlatformStore;
+using standins::StoreMode;
+using namespace std::chrono_literals;
+
+json UpstreamSpec(const std::string& state) {
+  return {{"service", "tally"}, {"address", "10.0.0.1:80"},
+          {"zone", "regina"},   {"version", "v1"},
+          {"slots", 2},         {"state", state},
+          {"cold_left_ms", 0},  {"seq", 1}};
+}
+
+class StoreFixture {
+ public:
+  // Runs one call to its end and returns its result, or throws its error.
+  template <typename Result>
+  Result Await(boost::asio::awaitable<Result> call) {
+    std::optional<Result> result;
+    std::exception_ptr failure;
+    bool is_done = false;
+    boost::asio::co_spawn(context, std::move(call),
+                          [&](const std::exception_ptr& error, Result value) {
+                            failure = error;
+                            result = std::move(value);
+                            is_done = true;
+                          });
+    RunUntil([&]() { return is_done; });
+    if (failure) {
+      std::rethrow_exception(failure);
+    }
+    return *result;
+  }
+
+  void Await(boost::asio::awaitable<void> call) {
+    std::exception_ptr failure;
+    bool is_done = false;
+    boost::asio::co_spawn(context, std::move(call),
+                          [&](const std::exception_ptr& error) {
+                            failure = error;
+                            is_done = true;
+                          });
+    RunUntil([&]() { return is_done; });
+    if (failure) {
+      std::rethrow_exception(failure);
+    }
+  }
+
+  void RunUntil(const std::function<bool()>& condition) {
+    context.restart();
+    while (!condition()) {
+      REQUIRE(context.run_one() > 0);
+    }
+  }
+
+  boost::asio::io_context context;
+  PlatformStore store{&context,
+                      {boost::asio::ip::make_address("127.0.0.1"), 0}};
+  StoreState state{&context, store.endpoint()};
+};
+
+belief::SteadyTime In(std::chrono::milliseconds wait) {
+  return std::chrono::steady_clock::now() + wait;
+}
+
+TEST_CASE("A list is read over all its pages") {
+  StoreFixture fixture;
+  fixture.store.set_page_size(2);
+  for (int i = 1; i <= 5; ++i) {
+    fixture.store.Put("servers", "i-" + std::to_string(i),
+                      UpstreamSpec("ready"));
+  }
+  const entry::StateBatch batch =
+      fixture.Await(fixture.state.List(Kind::kUpstreams));
+  CHECK(batch.entries.size() == 5);
+  CHECK(batch.at == fixture.store.revision());
+  CHECK(fixture.store.call_count() == 3);
+}
+
+TEST_CASE("A watch brings what changed, removals included") {
+  StoreFixture fixture;
+  const uint64_t from =
+      fixture.store.Put("servers", "i-1", UpstreamSpec("ready"));
+  fixture.store.Put("servers", "i-1", UpstreamSpec("draining"));
+  fixture.store.Remove("servers", "i-1");
+  const entry::StateBatch batch =
+      fixture.Await(fixture.state.Watch(Kind::kUpstreams, from, In(1s)));
+  REQUIRE(batch.entries.size() == 2);
+  const auto& drained =
+      std::get<belief::Belief::UpstreamEntry>(batch.entries[0]);
+  CHECK(drained.value->phase == belief::UpstreamPhase::kDraining);
+  const auto& removed =
+      std::get<belief::Belief::UpstreamEntry>(batch.entries[1]);
+  CHECK_FALSE(removed.value.has_value());
+  CHECK(removed.revision > drained.revision);
+}
+
+TEST_CASE("A watch without changes ends empty at its deadline") {
+  StoreFixture fixture;
+  const entry::StateBatch batch = fixture.Await(fixture.state.Watch(
+      Kind::kUpstreams, fixture.store.revision(), In(50ms)));
+  CHECK(batch.entries.empty());
+}
+
+TEST_CASE("A malformed object names nothing, the others hold") {
+  StoreFixture fixture;
+  fixture.store.Put("servers", "i-1", UpstreamSpec("ready"));
+  fixture.store.Put("servers", "i-2", UpstreamSpec("resting"));
+  fixture.store.Put("servers", "i-3", "not even a table");
+  const entry::StateBatch batch =
+      fixture.Await(fixture.state.List(Kind::kUpstreams));
+  REQUIRE(batch.entries.size() == 3);
+  int usable = 0;
+  for (const entry::BeliefEntry& entry : batch.entries) {
+    usable += std::get<belief::Belief::UpstreamEntry>(entry).value ? 1 : 0;
+  }
+  CHECK(usable == 1);
+  CHECK(fixture.state.counts().malformed_objects == 2);
+}
+
+TEST_CASE("Refusals and losses are told apart") {
+  StoreFixture fixture;
+  SECTION("the history is gone") {
+    const uint64_t from = fixture.store.revision();
+    fixture.store.Put("servers", "i-1", UpstreamSpec("ready"));
+    fixture.store.Compact();
+    CHECK_THROWS_AS(
+        fixture.Await(fixture.state.Watch(Kind::kUpstreams, from, In(1s))),
+        objects::CompactedError);
+  }
+  SECTION("busy") {
+    fixture.store.set_mode(StoreMode::kBusy);
+    CHECK_THROWS_AS(fixture.Await(fixture.state.List(Kind::kUpstreams)),
+                    objects::UnavailableError);
+    CHECK(fixture.state.counts().refused == 1);
+  }
+  SECTION("refusing") {
+    fixture.store.set_mode(StoreMode::kRefuse);
+    CHECK_THROWS_AS(fixture.Await(fixture.state.List(Kind::kUpstreams)),
+                    objects::UnavailableError);
+  }
+  SECTION("resetting") {
+    fixture.store.set_mode(StoreMode::kReset);
+    CHECK_THROWS_AS(fixture.Await(fixture.state.List(Kind::kUpstreams)),
+                    objects::UnknownOutcomeError);
+    CHECK(fixture.state.counts().failed == 1);
+  }
+  SECTION("silent") {
+    fixture.store.set_mode(StoreMode::kSilent);
+    CHECK_THROWS_AS(fixture.Await(fixture.state.List(Kind::kUpstreams)),
+                    objects::UnknownOutcomeError);
+  }
+  SECTION("after each of them the next call works") {
+    for (const StoreMode mode :
+         {StoreMode::kRefuse, StoreMode::kReset, StoreMode::kBusy}) {
+      fixture.store.set_mode(mode);
+      CHECK_THROWS(fixture.Await(fixture.state.List(Kind::kUpstreams)));
+      fixture.store.set_mode(StoreMode::kServe);
+      CHECK_NOTHROW(fixture.Await(fixture.state.List(Kind::kUpstreams)));
+    }
+  }
+}
+
+TEST_CASE("An entry host announces itself, also after a restart") {
+  StoreFixture fixture;
+  const belief::PeerRecord peer{"front-1", "regina", {0x7f000001, 9}};
+  fixture.Await(fixture.state.Announce(peer));
+  const belief::PeerRecord moved{"front-1", "regina", {0x7f000002, 9}};
+  fixture.Await(fixture.state.Announce(moved));
+  const entry::StateBatch batch =
+      fixture.Await(fixture.state.List(Kind::kPeers));
+  REQUIRE(batch.entries.size() == 1);
+  CHECK(std::get<belief::Belief::PeerEntry>(batch.entries[0]).value == moved);
+  fixture.Await(fixture.state.Withdraw("front-1"));
+  CHECK(fixture.Await(fixture.state.List(Kind::kPeers)).entries.empty());
+}
+
+TEST_CASE("A write whose answer is lost is known to be in doubt") {
+  StoreFixture fixture;
+  fixture.store.set_mode(StoreMode::kLoseAnswers);
+  CHECK_THROWS_AS(fixture.Await(fixture.state.Announce(
+                      {"front-1", "regina", {0x7f000001, 9}})),
+                  objects::UnknownOutcomeError);
+  CHECK(fixture.store.Contains("poplarsail-hosts", "front-1"));
+}
+
+}  // namespace
+}  // namespace poplarsail::platform
--- /dev/null
+++ b/tests/standins/platform_store.cc
@@ -0,0 +1,291 @@
+#include "standins/platform_store.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <utility>
+
+namespace poplarsail::standins {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using nlohmann::json;
+
+constexpr std::string_view kPrefix = "/-/objects/";
+
+// The parts of "/-/objects/KIND/NAME?key=value&...".
+struct Target {
+  std::string kind;
+  std::string name;
+  std::map<std::string, std::string> query;
+};
+
+Target ParseTarget(std::string text) {
+  Target target;
+  const size_t question = text.find('?');
+  std::string query =
+      question == std::string::npos ? "" : text.substr(question + 1);
+  text = text.substr(0, question);
+  text.erase(0, kPrefix.size());
+  const size_t slash = text.find('/');
+  target.kind = text.substr(0, slash);
+  target.name = slash == std::string::npos ? "" : text.substr(slash + 1);
+  while (!query.empty()) {
+    const size_t end = std::min(query.find('&'), query.size());
+    const std::string item = query.substr(0, end);
+    query.erase(0, std::min(end + 1, query.size()));
+    const size_t equals = item.find('=');
+    if (equals != std::string::npos) {
+      target.query[item.substr(0, equals)] = item.substr(equals + 1);
+    }
+  }
+  return target;
+}
+
+}  // namespace
+
+struct PlatformStore::Session {
+  explicit Session(boost::asio::ip::tcp::socket socket)
+      : stream(std::move(socket)), timer(stream.get_executor()) {}
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  http::request<http::string_body> request;
+  http::response<http::string_body> response;
+  boost::asio::steady_timer timer;
+};
+
+PlatformStore::PlatformStore(boost::asio::io_context* context,
+                             const model::Endpoint& endpoint)
+    : m_context(context),
+      m_acceptor(*context, {endpoint.address, endpoint.port}) {
+  AcceptNext();
+}
+
+model::Endpoint PlatformStore::endpoint() const {
+  const auto local = m_acceptor.local_endpoint();
+  return {local.address(), local.port()};
+}
+
+uint64_t PlatformStore::Put(const std::string& kind,
+                            const std::string& name,
+                            const json& spec) {
+  json& object = m_objects[kind][name];
+  if (!object.is_null() && object["spec"] == spec) {
+    return m_revision;
+  }
+  ++m_revision;
+  object = {{"meta",
+             {{"name", name},
+              {"revision", m_revision},
+              {"created", 1},
+              {"finalizers", json::array()},
+              {"deleting", false}}},
+            {"spec", spec},
+            {"status", nullptr}};
+  m_history.push_back({m_revision, kind, object, false});
+  WakeWatches();
+  return m_revision;
+}
+
+void PlatformStore::Remove(const std::string& kind, const std::string& name) {
+  const auto found = m_objects[kind].find(name);
+  if (found == m_objects[kind].end()) {
+    return;
+  }
+  ++m_revision;
+  json object = found->second;
+  object["meta"]["revision"] = m_revision;
+  m_objects[kind].erase(found);
+  m_history.push_back({m_revision, kind, object, true});
+  WakeWatches();
+}
+
+void PlatformStore::Compact() {
+  m_compacted = m_revision;
+  m_history.clear();
+}
+
+bool PlatformStore::Contains(const std::string& kind,
+                             const std::string& name) const {
+  const auto found = m_objects.find(kind);
+  return found != m_objects.end() && found->second.contains(name);
+}
+
+json PlatformStore::Spec(const std::string& kind,
+                         const std::string& name) const {
+  return m_objects.at(kind).at(name).at("spec");
+}
+
+void PlatformStore::AcceptNext() {
+  m_acceptor.async_accept([this](const boost::system::error_code& error,
+                                 boost::asio::ip::tcp::socket socket) {
+    if (error) {
+      return;
+    }
+    AcceptNext();
+    ReadNext(std::make_shared<Session>(std::move(socket)));
+  });
+}
+
+void PlatformStore::ReadNext(const std::shared_ptr<Session>& session) {
+  session->request = {};
+  http::async_read(session->stream, session->buffer, session->request,
+                   [this, session](const beast::error_code& error, size_t) {
+                     if (!error) {
+                       Serve(session);
+                     }
+                   });
+}
+
+void PlatformStore::Serve(const std::shared_ptr<Session>& session) {
+  ++m_call_count;
+  const Target target = ParseTarget(std::string(session->request.target()));
+  const bool is_read = session->request.method() == http::verb::get;
+  switch (m_mode) {
+    case StoreMode::kRefuse:
+      return Answer(session, 503, json::object());
+    case StoreMode::kBusy:
+      return Answer(session, 429, json::object());
+    case StoreMode::kSilent:
+      // Keeps the connection open without an answer.
+      session->timer.expires_after(std::chrono::hours(1));
+      return session->timer.async_wait(
+          [session](const boost::system::error_code&) {});
+    case StoreMode::kReset: {
+      boost::system::error_code ignored;
+      session->stream.socket().set_option(
+          boost::asio::socket_base::linger(true, 0), ignored);
+      session->stream.socket().close(ignored);
+      return;
+    }
+    case StoreMode::kServe:
+    case StoreMode::kLoseAnswers:
+      break;
+  }
+  if (!is_read) {
+    return ServeWrite(session, target.kind, target.name);
+  }
+  if (target.query.contains("watch")) {
+    return ServeWatch(session, target.kind,
+                      std::stoull(target.query.at("watch")),
+                      std::stoull(target.query.at("wait_ms")));
+  }
+  const auto after = target.query.find("after");
+  ServeList(session, target.kind,
+            after == target.query.end() ? "" : after->second);
+}
+
+void PlatformStore::Answer(const std::shared_ptr<Session>& session,
+                           unsigned status,
+                           const json& body) {
+  session->response = {};
+  session->response.result(status);
+  session->response.keep_alive(session->request.keep_alive());
+  session->response.set(http::field::content_type, "application/json");
+  session->response.body() = body.dump();
+  session->response.prepare_payload();
+  http::async_write(session->stream, session->response,
+                    [this, session](const beast::error_code& error, size_t) {
+                      if (!error) {
+                        ReadNext(session);
+                      }
+                    });
+}
+
+void PlatformStore::ServeList(const std::shared_ptr<Session>& session,
+                              const std::string& kind,
+                              const std::string& after) {
+  json items = json::array();
+  bool has_more = false;
+  for (const auto& [name, object] : m_objects[kind]) {
+    if (!after.empty() && name <= after) {
+      continue;
+    }
+    if (items.size() == m_page_size) {
+      has_more = true;
+      break;
+    }
+    items.push_back(object);
+  }
+  Answer(session, 200,
+         {{"items", items}, {"has_more", has_more}, {"at", m_revision}});
+}
+
+void PlatformStore::ServeWatch(const std::shared_ptr<Session>& session,
+                               const std::string& kind,
+                               uint64_t from,
+                               uint64_t wait_ms) {
+  if (from < m_compacted) {
+    return Answer(session, 410, json::object());
+  }
+  const json events = EventsAfter(kind, from);
+  if (!events.empty()) {
+    return Answer(session, 200, {{"events", events}, {"at", m_revision}});
+  }
+  m_watches.push_back({session, kind, from});
+  const auto watch = std::prev(m_watches.end());
+  session->timer.expires_after(std::chrono::milliseconds(wait_ms));
+  session->timer.async_wait(
+      [this, session, watch](const boost::system::error_code& error) {
+        if (error) {
+          return;
+        }
+        m_watches.erase(watch);
+        Answer(session, 200, {{"events", json::array()}, {"at", m_revision}});
+      });
+}
+
+void PlatformStore::ServeWrite(const std::shared_ptr<Session>& session,
+                               const std::string& kind,
+                               const std::string& name) {
+  const json body = json::parse(session->request.body(), nullptr, false);
+  const bool is_create = session->request.method() == http::verb::post;
+  const std::string object_name =
+      is_create ? body.at("meta").at("name").get<std::string>() : name;
+  if (is_create && Contains(kind, object_name)) {
+    return Answer(session, 409, m_objects[kind][object_name]);
+  }
+  if (!is_create && !Contains(kind, object_name)) {
+    return Answer(session, 404, json::object());
+  }
+  if (session->request.method() == http::verb::delete_) {
+    Remove(kind, object_name);
+  } else {
+    Put(kind, object_name, body.at("spec"));
+  }
+  if (m_mode == StoreMode::kLoseAnswers) {
+    session->timer.expires_after(std::chrono::hours(1));
+    return session->timer.async_wait(
+        [session](const boost::system::error_code&) {});
+  }
+  Answer(session, 200, json::object());
+}
+
+json PlatformStore::EventsAfter(const std::string& kind, uint64_t from) const {
+  json events = json::array();
+  for (const Event& event : m_history) {
+    if (event.revision > from && event.kind == kind) {
+      events.push_back({{"deleted", event.deleted}, {"object", event.object}});
+    }
+  }
+  return events;
+}
+
+void PlatformStore::WakeWatches() {
+  for (auto watch = m_watches.begin(); watch != m_watches.end();) {
+    const json events = EventsAfter(watch->kind, watch->from);
+    if (events.empty()) {
+      ++watch;
+      continue;
+    }
+    const std::shared_ptr<Session> session = watch->session;
+    watch = m_watches.erase(watch);
+    session->timer.cancel();
+    Answer(session, 200, {{"events", events}, {"at", m_revision}});
+  }
+}
+
+}  // namespace poplarsail::standins
--- /dev/null
+++ b/tests/standins/platform_store.h
@@ -0,0 +1,105 @@
+#ifndef STANDINS_PLATFORM_STORE_H_
+#define STANDINS_PLATFORM_STORE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "model/model.h"
+
+namespace poplarsail::standins {
+
+// How the stand-in treats calls.
+enum class StoreMode : uint8_t {
+  kServe,
+  // 503, 429
+  kRefuse,
+  kBusy,
+  // Calls are neither done nor answered.
+  kSilent,
+  // Connections are reset.
+  kReset,
+  // Writes are done and not answered.
+  kLoseAnswers,
+};
+
+// The platform's store as its page describes it, in memory.
+class PlatformStore {
+ public:
+  PlatformStore(boost::asio::io_context* context,
+                const model::Endpoint& endpoint);
+
+  model::Endpoint endpoint() const;
+  void set_mode(StoreMode mode) { m_mode = mode; }
+  // Objects of a page of a list.
+  void set_page_size(size_t size) { m_page_size = size; }
+
+  // Writes as the operator or an upstream does.
+  uint64_t Put(const std::string& kind,
+               const std::string& name,
+               const nlohmann::json& spec);
+  void Remove(const std::string& kind, const std::string& name);
+  // Drops the history: watches from before get 410.
+  void Compact();
+
+  bool Contains(const std::string& kind, const std::string& name) const;
+  nlohmann::json Spec(const std::string& kind, const std::string& name) const;
+  uint64_t revision() const { return m_revision; }
+  uint64_t call_count() const { return m_call_count; }
+
+ private:
+  struct Session;
+  struct Event {
+    uint64_t revision = 0;
+    std::string kind;
+    nlohmann::json object;
+    bool deleted = false;
+  };
+  struct Watch {
+    std::shared_ptr<Session> session;
+    std::string kind;
+    uint64_t from = 0;
+  };
+
+  void AcceptNext();
+  void ReadNext(const std::shared_ptr<Session>& session);
+  void Serve(const std::shared_ptr<Session>& session);
+  void Answer(const std::shared_ptr<Session>& session,
+              unsigned status,
+              const nlohmann::json& body);
+  void ServeList(const std::shared_ptr<Session>& session,
+                 const std::string& kind,
+                 const std::string& after);
+  void ServeWatch(const std::shared_ptr<Session>& session,
+                  const std::string& kind,
+                  uint64_t from,
+                  uint64_t wait_ms);
+  void ServeWrite(const std::shared_ptr<Session>& session,
+                  const std::string& kind,
+                  const std::string& name);
+  nlohmann::json EventsAfter(const std::string& kind, uint64_t from) const;
+  void WakeWatches();
+
+  boost::asio::io_context* m_context;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  StoreMode m_mode = StoreMode::kServe;
+  size_t m_page_size = 500;
+  std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
+  std::vector<Event> m_history;
+  std::list<Watch> m_watches;
+  uint64_t m_revision = 1;
+  uint64_t m_compacted = 0;
+  uint64_t m_call_count = 0;
+};
+
+}  // namespace poplarsail::standins
+
+#endif  // STANDINS_PLATFORM_STORE_H_
