Take beliefs from other entry hosts, reload settings

Change: hosts ask the seeds and the hosts that asked them for what they know, at once at start, once a second while the store is away, else every five seconds; answers merge by revision. SIGHUP and a changed file reload seeds and linger. Ruled out: HTTP/2 streams for this, one small exchange needs no multiplexing.

--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -28,7 +28,7 @@
     return kExitSuccess;
   }
   boost::asio::io_context context(1);
-  entry::EntryDaemon daemon(&context, settings,
+  entry::EntryDaemon daemon(&context, path, settings,
                             platform::MakeEntryPlatform(&context, settings));
   return daemon.Run();
 }
--- a/src/libs/belief/belief.h
+++ b/src/libs/belief/belief.h
@@ -54,7 +54,7 @@
                  const std::vector<Versioned<Record>>& entries,
                  uint64_t at,
                  SteadyTime now) {
-    for (const std::string& name : SetOf<Record>().MissingFrom(entries, at)) {
+    for (const std::string& name : set_of<Record>().MissingFrom(entries, at)) {
       Apply(Versioned<Record>{name, at, std::nullopt}, now);
     }
     for (const Versioned<Record>& entry : entries) {
@@ -90,8 +90,9 @@
   const std::map<std::string, KnownUpstream>& upstreams() const {
     return m_upstreams;
   }
-  const VersionedSet<TakeOut>& take_outs() const { return m_take_out_set; }
-  const VersionedSet<PeerRecord>& peers() const { return m_peer_set; }
+  // The newest known objects of a kind.
+  template <typename Record>
+  const VersionedSet<Record>& set_of() const;
   bool IsTakenOut(const std::string& failure_domain) const {
     return m_taken_out.contains(failure_domain);
   }
@@ -100,9 +101,6 @@
   uint64_t generation() const { return m_generation; }
 
  private:
-  template <typename Record>
-  const VersionedSet<Record>& SetOf() const;
-
   void Lapse(const std::string& name, SteadyTime now);
 
   std::optional<Configuration> m_configuration;
@@ -119,19 +117,19 @@
 };
 
 template <>
-inline const VersionedSet<Configuration>& Belief::SetOf() const {
+inline const VersionedSet<Configuration>& Belief::set_of() const {
   return m_configuration_set;
 }
 template <>
-inline const VersionedSet<UpstreamRecord>& Belief::SetOf() const {
+inline const VersionedSet<UpstreamRecord>& Belief::set_of() const {
   return m_upstream_set;
 }
 template <>
-inline const VersionedSet<TakeOut>& Belief::SetOf() const {
+inline const VersionedSet<TakeOut>& Belief::set_of() const {
   return m_take_out_set;
 }
 template <>
-inline const VersionedSet<PeerRecord>& Belief::SetOf() const {
+inline const VersionedSet<PeerRecord>& Belief::set_of() const {
   return m_peer_set;
 }
 
--- /dev/null
+++ b/src/libs/entry/belief_codec.cc
@@ -0,0 +1,222 @@
+#include "entry/belief_codec.h"
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+#include <vector>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace poplarsail::entry {
+
+namespace {
+
+using belief::Belief;
+using belief::Kind;
+using nlohmann::json;
+
+json Encode(const model::Ipv4Endpoint& endpoint) {
+  return {endpoint.address, endpoint.port};
+}
+
+model::Ipv4Endpoint DecodeEndpoint(const json& value) {
+  return {value.at(0).get<uint32_t>(), value.at(1).get<uint16_t>()};
+}
+
+json Encode(const belief::UpstreamRecord& record, belief::SteadyTime now) {
+  // Steady time differs between hosts: what is left of the cold start is sent.
+  const auto cold_left = std::chrono::duration_cast<belief::milliseconds>(
+      std::max(record.cold_until - now, belief::SteadyTime::duration::zero()));
+  return {{"id", record.id},
+          {"service", record.service},
+          {"endpoint", Encode(record.endpoint)},
+          {"failure_domain", record.failure_domain},
+          {"draining", record.phase == belief::UpstreamPhase::kDraining},
+          {"cold_left_ms", cold_left.count()},
+          {"started_unix_ms", record.started_unix_ms}};
+}
+
+void Decode(const json& value,
+            belief::SteadyTime now,
+            belief::UpstreamRecord* record) {
+  record->id = value.at("id").get<uint64_t>();
+  record->service = value.at("service").get<std::string>();
+  record->endpoint = DecodeEndpoint(value.at("endpoint"));
+  record->failure_domain = value.at("failure_domain").get<std::string>();
+  record->phase = value.at("draining").get<bool>()
+                      ? belief::UpstreamPhase::kDraining
+                      : belief::UpstreamPhase::kServing;
+  const auto cold_left = value.at("cold_left_ms").get<int64_t>();
+  if (cold_left > 0) {
+    record->cold_until = now + belief::milliseconds(cold_left);
+  }
+  record->started_unix_ms = value.at("started_unix_ms").get<int64_t>();
+}
+
+json Encode(const belief::Configuration& configuration, belief::SteadyTime) {
+  json listeners = json::array();
+  for (const belief::ListenerRecord& listener : configuration.listeners) {
+    json shares = json::array();
+    for (const belief::ServiceShare& share : listener.shares) {
+      shares.push_back({share.service, share.weight});
+    }
+    listeners.push_back({{"name", listener.name},
+                         {"endpoint", Encode(listener.endpoint)},
+                         {"shares", shares}});
+  }
+  json services = json::array();
+  for (const belief::ServiceRecord& service : configuration.services) {
+    services.push_back(
+        {{"name", service.name},
+         {"cold_flows_per_second", service.cold_flows_per_second},
+         {"health_path", service.health_path}});
+  }
+  return {{"version", configuration.version},
+          {"listeners", listeners},
+          {"services", services},
+          {"flow_idle_ms", configuration.flow_idle_timeout.count()}};
+}
+
+void Decode(const json& value,
+            belief::SteadyTime,
+            belief::Configuration* configuration) {
+  configuration->version = value.at("version").get<int64_t>();
+  for (const json& item : value.at("listeners")) {
+    belief::ListenerRecord listener;
+    listener.name = item.at("name").get<std::string>();
+    listener.endpoint = DecodeEndpoint(item.at("endpoint"));
+    for (const json& share : item.at("shares")) {
+      listener.shares.push_back(
+          {share.at(0).get<std::string>(), share.at(1).get<uint32_t>()});
+    }
+    configuration->listeners.push_back(std::move(listener));
+  }
+  for (const json& item : value.at("services")) {
+    configuration->services.push_back(
+        {item.at("name").get<std::string>(),
+         item.at("cold_flows_per_second").get<double>(),
+         item.at("health_path").get<std::string>()});
+  }
+  configuration->flow_idle_timeout =
+      belief::milliseconds(value.at("flow_idle_ms").get<int64_t>());
+}
+
+json Encode(const belief::TakeOut& take_out, belief::SteadyTime) {
+  return take_out.failure_domain;
+}
+
+void Decode(const json& value, belief::SteadyTime, belief::TakeOut* take_out) {
+  take_out->failure_domain = value.get<std::string>();
+}
+
+// Objects that exist as [name, revision, value].
+template <typename Record>
+json EncodeKind(const Belief& belief, Kind kind, belief::SteadyTime now) {
+  json objects = json::array();
+  for (const auto& [name, entry] : belief.set_of<Record>().entries()) {
+    if (entry.value) {
+      objects.push_back({name, entry.revision, Encode(*entry.value, now)});
+    }
+  }
+  return {{"at", belief.listed_revision(kind)}, {"objects", objects}};
+}
+
+template <typename Record>
+void MergeKind(const json& part,
+               Kind kind,
+               Belief* belief,
+               belief::SteadyTime now) {
+  std::vector<belief::Versioned<Record>> entries;
+  for (const json& object : part.at("objects")) {
+    Record record;
+    Decode(object.at(2), now, &record);
+    entries.push_back({object.at(0).get<std::string>(),
+                       object.at(1).get<uint64_t>(), std::move(record)});
+  }
+  const auto at = part.at("at").get<uint64_t>();
+  if (at > 0) {
+    belief->ApplyList<Record>(kind, entries, at, now);
+  }
+}
+
+}  // namespace
+
+ListedRevisions ListedRevisionsOf(const Belief& belief) {
+  ListedRevisions revisions{};
+  for (size_t i = 0; i < revisions.size(); ++i) {
+    revisions[i] = belief.listed_revision(static_cast<Kind>(i));
+  }
+  return revisions;
+}
+
+bool IsNewer(const Belief& belief, const ListedRevisions& known) {
+  const ListedRevisions own = ListedRevisionsOf(belief);
+  for (size_t i = 0; i < own.size(); ++i) {
+    if (own[i] > known[i]) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::string EncodeBelief(const Belief& belief, belief::SteadyTime now) {
+  const json message = {
+      {"version", kBeliefMessageVersion},
+      {"configuration",
+       EncodeKind<belief::Configuration>(belief, Kind::kConfiguration, now)},
+      {"upstreams",
+       EncodeKind<belief::UpstreamRecord>(belief, Kind::kUpstreams, now)},
+      {"take_outs", EncodeKind<belief::TakeOut>(belief, Kind::kTakeOuts, now)}};
+  std::string bytes;
+  json::to_msgpack(message, bytes);
+  return bytes;
+}
+
+void MergeBelief(std::string_view message,
+                 Belief* belief,
+                 belief::SteadyTime now) {
+  if (message.size() > kMaxBeliefMessageBytes) {
+    throw BeliefMessageError(
+        fmt::format("{} bytes are too many", message.size()));
+  }
+  try {
+    const json parsed = json::from_msgpack(message);
+    const int version = parsed.at("version").get<int>();
+    if (version != kBeliefMessageVersion) {
+      throw BeliefMessageError(
+          fmt::format("version {} is not {}", version, kBeliefMessageVersion));
+    }
+    // All of it is read before any of it is taken.
+    Belief merged = *belief;
+    MergeKind<belief::Configuration>(parsed.at("configuration"),
+                                     Kind::kConfiguration, &merged, now);
+    MergeKind<belief::UpstreamRecord>(parsed.at("upstreams"), Kind::kUpstreams,
+                                      &merged, now);
+    MergeKind<belief::TakeOut>(parsed.at("take_outs"), Kind::kTakeOuts, &merged,
+                               now);
+    *belief = std::move(merged);
+  } catch (const json::exception& error) {
+    throw BeliefMessageError(error.what());
+  }
+}
+
+std::string ToText(const ListedRevisions& revisions) {
+  return fmt::format("{}", fmt::join(revisions, ","));
+}
+
+ListedRevisions ParseListedRevisions(const std::string& text) {
+  ListedRevisions revisions{};
+  std::istringstream stream(text);
+  std::string item;
+  for (size_t i = 0; i < revisions.size() && std::getline(stream, item, ',');
+       ++i) {
+    uint64_t value = 0;
+    const auto [end, error] =
+        std::from_chars(item.data(), item.data() + item.size(), value);
+    revisions[i] = error == std::errc() ? value : 0;
+  }
+  return revisions;
+}
+
+}  // namespace poplarsail::entry
--- /dev/null
+++ b/src/libs/entry/belief_codec.h
@@ -0,0 +1,47 @@
+#ifndef ENTRY_BELIEF_CODEC_H_
+#define ENTRY_BELIEF_CODEC_H_
+
+#include <array>
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "belief/belief.h"
+
+namespace poplarsail::entry {
+
+// Version of the messages between entry hosts; others are refused.
+inline constexpr int kBeliefMessageVersion = 1;
+// A message of 25,000 upstreams and 6,800 listeners has 4 MB.
+inline constexpr size_t kMaxBeliefMessageBytes = 8 << 20;
+
+// A message of another entry host that can't be used.
+class BeliefMessageError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// Up to which revision each kind is known.
+using ListedRevisions = std::array<uint64_t, belief::kKindCount>;
+
+ListedRevisions ListedRevisionsOf(const belief::Belief& belief);
+
+// Whether `belief` knows something that a host with `known` does not.
+bool IsNewer(const belief::Belief& belief, const ListedRevisions& known);
+
+// Returns all that is known, as msgpack.
+std::string EncodeBelief(const belief::Belief& belief, belief::SteadyTime now);
+
+// Merges a message into `belief`, by revision. Throws BeliefMessageError.
+void MergeBelief(std::string_view message,
+                 belief::Belief* belief,
+                 belief::SteadyTime now);
+
+// "1,2,3,4"; unreadable parts count as 0.
+std::string ToText(const ListedRevisions& revisions);
+ListedRevisions ParseListedRevisions(const std::string& text);
+
+}  // namespace poplarsail::entry
+
+#endif  // ENTRY_BELIEF_CODEC_H_
--- a/src/libs/entry/entry.h
+++ b/src/libs/entry/entry.h
@@ -2,12 +2,14 @@
 #ifndef ENTRY_ENTRY_H_
 #define ENTRY_ENTRY_H_
 
+#include "entry/belief_codec.h"
 #include "entry/entry_daemon.h"
 #include "entry/entry_settings.h"
 #include "entry/flow_codec.h"
 #include "entry/http_responder.h"
 #include "entry/metrics.h"
 #include "entry/packet_loop.h"
+#include "entry/peer_exchange.h"
 #include "entry/state_follower.h"
 #include "entry/state_store.h"
 
--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -16,6 +17,7 @@
 #include "entry/http_responder.h"
 #include "entry/metrics.h"
 #include "entry/packet_loop.h"
+#include "entry/peer_exchange.h"
 #include "entry/state_follower.h"
 #include "flows/flows.h"
 #include "telemetry/telemetry.h"
@@ -24,6 +26,9 @@
 
 namespace {
 
+// The settings file is compared with what is in force this often, since it may
+// change without a signal.
+constexpr std::chrono::seconds kSettingsInterval{5};
 // Lapses, idle flows and log lines are looked after this often.
 constexpr std::chrono::milliseconds kTickInterval{250};
 
@@ -45,7 +50,7 @@
         metrics(context, {settings.packets.address, settings.metrics_port}),
         tick(*context),
         stop(*context),
-        signals(*context, SIGTERM, SIGINT) {}
+        signals(*context, SIGTERM, SIGINT, SIGHUP) {}
 
   telemetry::BoundedLogSink log;
   belief::Belief belief;
@@ -54,15 +59,20 @@
   HttpResponder readiness;
   HttpResponder metrics;
   std::vector<std::unique_ptr<StateFollower>> followers;
+  std::unique_ptr<PeerExchange> peers;
+  belief::SteadyTime next_settings_check;
   boost::asio::steady_timer tick;
   boost::asio::steady_timer stop;
   boost::asio::signal_set signals;
 };
 
 EntryDaemon::EntryDaemon(boost::asio::io_context* context,
+                         const std::string& settings_path,
                          const EntrySettings& settings,
                          EntryPlatform platform)
     : m_context(context),
+      m_settings_path(settings_path),
+      m_settings_text(model::ReadSettingsFile(settings_path)),
       m_settings(settings),
       m_platform(std::move(platform)),
       m_parts(
@@ -92,17 +102,29 @@
 
 void EntryDaemon::StartServers() {
   m_parts->packets.Start();
-  m_parts->readiness.Handle(m_platform.readiness_path, [this]() {
-    const bool is_ready = !m_is_stopping && m_parts->belief.IsComplete();
-    return HttpAnswer{is_ready ? 200U : 503U, ""};
-  });
+  m_parts->readiness.Handle(
+      m_platform.readiness_path, [this](const HttpQuery&) {
+        const bool is_ready = !m_is_stopping && m_parts->belief.IsComplete();
+        return HttpAnswer{is_ready ? 200U : 503U, ""};
+      });
   m_parts->readiness.Start();
-  m_parts->metrics.Handle("/metrics", [this]() {
+  m_parts->metrics.Handle("/metrics", [this](const HttpQuery&) {
     return HttpAnswer{
         200, FormatMetrics({&m_parts->packets.counts(), &m_parts->steering,
                             &m_parts->belief})};
   });
   m_parts->metrics.Start();
+  PeerExchange::Options options;
+  options.own_endpoint = m_settings.peers;
+  options.seeds = m_settings.seeds;
+  options.is_store_lost = [this]() {
+    return std::any_of(m_parts->followers.begin(), m_parts->followers.end(),
+                       [](const auto& f) { return f->is_lost(); });
+  };
+  options.changed = [this]() { BeliefChanged(); };
+  m_parts->peers = std::make_unique<PeerExchange>(m_context, &m_parts->belief,
+                                                  std::move(options));
+  m_parts->peers->Start();
 }
 
 void EntryDaemon::StartFollowers() {
@@ -134,13 +156,58 @@
 
 void EntryDaemon::StartSignals() {
   m_parts->signals.async_wait(
-      [this](const boost::system::error_code& error, int) {
-        if (!error) {
+      [this](const boost::system::error_code& error, int signal) {
+        if (error) {
+          return;
+        }
+        if (signal == SIGHUP) {
+          Reload();
+        } else if (!m_is_stopping) {
           Stop();
         }
+        StartSignals();
       });
 }
 
+void EntryDaemon::Reload() {
+  try {
+    m_settings_text = model::ReadSettingsFile(m_settings_path);
+    const EntrySettings loaded =
+        ParseEntrySettings(m_settings_text, m_settings_path);
+    EntrySettings reloadable = m_settings;
+    reloadable.seeds = loaded.seeds;
+    reloadable.linger = loaded.linger;
+    // Addresses stay until the next start: callers and hosts know this one.
+    const bool needs_restart = reloadable != loaded;
+    m_settings = reloadable;
+    m_parts->peers->set_seeds(m_settings.seeds);
+    telemetry::Log(telemetry::LogLevel::kInfo, "daemon", "settings reloaded",
+                   {{"seeds", std::to_string(m_settings.seeds.size())},
+                    {"needs_restart", needs_restart ? "yes" : "no"}});
+  } catch (const model::ValidationError& error) {
+    telemetry::Log(telemetry::LogLevel::kError, "daemon",
+                   "settings refused, the old ones stay",
+                   {{"reason", error.what()}});
+  }
+}
+
+void EntryDaemon::ReloadIfChanged() {
+  const auto now = std::chrono::steady_clock::now();
+  if (now < m_parts->next_settings_check) {
+    return;
+  }
+  m_parts->next_settings_check = now + kSettingsInterval;
+  try {
+    if (model::ReadSettingsFile(m_settings_path) != m_settings_text) {
+      Reload();
+    }
+  } catch (const model::ValidationError& error) {
+    telemetry::Log(telemetry::LogLevel::kWarning, "daemon",
+                   "settings file can't be read, the old ones stay",
+                   {{"reason", error.what()}});
+  }
+}
+
 void EntryDaemon::BeliefChanged() {
   m_parts->steering.Update(m_parts->belief, std::chrono::steady_clock::now());
   m_parts->packets.ReleaseHeld();
@@ -168,6 +235,7 @@
   }
   m_parts->steering.Sweep(now);
   m_parts->packets.CheckDoubted();
+  ReloadIfChanged();
   m_parts->log.Flush();
 }
 
--- a/src/libs/entry/entry_daemon.h
+++ b/src/libs/entry/entry_daemon.h
@@ -23,7 +23,9 @@
 // microseconds and each wake-up of a further thread would cost more than it.
 class EntryDaemon {
  public:
+  // `settings_path` is read again on SIGHUP and when the file changes.
   EntryDaemon(boost::asio::io_context* context,
+              const std::string& settings_path,
               const EntrySettings& settings,
               EntryPlatform platform);
   ~EntryDaemon();
@@ -38,12 +40,16 @@
   void StartFollowers();
   void StartTimers();
   void StartSignals();
+  void Reload();
+  void ReloadIfChanged();
   void BeliefChanged();
   void LogReadiness();
   void Tick();
   void Stop();
 
   boost::asio::io_context* m_context;
+  std::string m_settings_path;
+  std::string m_settings_text;
   EntrySettings m_settings;
   EntryPlatform m_platform;
   std::unique_ptr<Parts> m_parts;
--- a/src/libs/entry/http_responder.cc
+++ b/src/libs/entry/http_responder.cc
@@ -1,7 +1,9 @@
 #include "entry/http_responder.h"
 
+#include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <sstream>
 #include <utility>
 
 namespace poplarsail::entry {
@@ -14,6 +16,20 @@
 // Connections without a request are closed after this time.
 constexpr std::chrono::seconds kIdleTimeout{30};
 
+// Splits "key=value&key=value".
+HttpQuery ParseQuery(const std::string& text) {
+  HttpQuery query;
+  std::istringstream stream(text);
+  std::string item;
+  while (std::getline(stream, item, '&')) {
+    const size_t equals = item.find('=');
+    if (equals != std::string::npos) {
+      query[item.substr(0, equals)] = item.substr(equals + 1);
+    }
+  }
+  return query;
+}
+
 }  // namespace
 
 struct HttpResponder::Connection {
@@ -73,8 +89,13 @@
 }
 
 HttpAnswer HttpResponder::Answer(const std::string& target) const {
-  const auto found = m_handlers.find(target.substr(0, target.find('?')));
-  return found == m_handlers.end() ? HttpAnswer{404, ""} : found->second();
+  const size_t question = std::min(target.find('?'), target.size());
+  const auto found = m_handlers.find(target.substr(0, question));
+  if (found == m_handlers.end()) {
+    return {404, ""};
+  }
+  const size_t query = std::min(question + 1, target.size());
+  return found->second(ParseQuery(target.substr(query)));
 }
 
 }  // namespace poplarsail::entry
--- a/src/libs/entry/http_responder.h
+++ b/src/libs/entry/http_responder.h
@@ -17,10 +17,13 @@
   std::string body;
 };
 
+// Values of the query by key.
+using HttpQuery = std::map<std::string, std::string>;
+
 // Answers GET requests on one address, by path.
 class HttpResponder {
  public:
-  using Handler = std::function<HttpAnswer()>;
+  using Handler = std::function<HttpAnswer(const HttpQuery& query)>;
 
   // Throws boost::system::system_error where the address can't be bound.
   HttpResponder(boost::asio::io_context* context,
--- /dev/null
+++ b/src/libs/entry/peer_exchange.cc
@@ -0,0 +1,158 @@
+#include "entry/peer_exchange.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "entry/belief_codec.h"
+#include "telemetry/telemetry.h"
+
+namespace poplarsail::entry {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+constexpr const char* kBeliefPath = "/belief";
+
+}  // namespace
+
+PeerExchange::PeerExchange(asio::io_context* context,
+                           belief::Belief* belief,
+                           Options options)
+    : m_context(context),
+      m_belief(belief),
+      m_options(std::move(options)),
+      m_responder(context, m_options.own_endpoint),
+      m_timer(*context),
+      m_random(std::random_device()()) {
+  m_responder.Handle(kBeliefPath,
+                     [this](const HttpQuery& query) { return Tell(query); });
+}
+
+void PeerExchange::Start() {
+  m_responder.Start();
+  asio::co_spawn(*m_context, Run(), asio::detached);
+}
+
+void PeerExchange::set_seeds(std::vector<model::Endpoint> seeds) {
+  m_options.seeds = std::move(seeds);
+}
+
+asio::awaitable<void> PeerExchange::Run() {
+  while (true) {
+    // At the start all are asked at once.
+    const size_t count =
+        m_belief->IsComplete() ? 1 : m_options.seeds.size() + m_askers.size();
+    for (size_t i = 0; i < count; ++i) {
+      const model::Endpoint peer = NextPeer();
+      if (peer.port != 0 && peer != m_options.own_endpoint) {
+        asio::co_spawn(*m_context, Ask(peer), asio::detached);
+      }
+    }
+    const auto interval = Interval();
+    m_timer.expires_after(interval / 2 + std::chrono::milliseconds(
+                                             m_random() % interval.count()));
+    boost::system::error_code cancelled;
+    co_await m_timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, cancelled));
+  }
+}
+
+asio::awaitable<void> PeerExchange::Ask(model::Endpoint peer) {
+  ++m_counts.asked;
+  beast::tcp_stream stream(*m_context);
+  stream.expires_after(kAskTimeout);
+  try {
+    co_await stream.async_connect({peer.address, peer.port},
+                                  asio::use_awaitable);
+    http::request<http::empty_body> request(
+        http::verb::get,
+        fmt::format("{}?known={}&from={}", kBeliefPath,
+                    ToText(ListedRevisionsOf(*m_belief)),
+                    model::ToString(m_options.own_endpoint)),
+        11);
+    request.set(http::field::host, model::ToString(peer));
+    co_await http::async_write(stream, request, asio::use_awaitable);
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(kMaxBeliefMessageBytes);
+    co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
+    if (parser.get().result() == http::status::ok) {
+      Merge(peer, parser.get().body());
+    }
+  } catch (const boost::system::system_error&) {
+    // Seeds are often stale; the counter tells how often.
+    ++m_counts.failed;
+  }
+}
+
+void PeerExchange::Merge(const model::Endpoint& peer,
+                         const std::string& message) {
+  const uint64_t before = m_belief->generation();
+  try {
+    MergeBelief(message, m_belief, std::chrono::steady_clock::now());
+  } catch (const BeliefMessageError& error) {
+    ++m_counts.failed;
+    telemetry::Log(telemetry::LogLevel::kWarning, "peers", "message refused",
+                   {{"peer", model::ToString(peer)}, {"reason", error.what()}});
+    return;
+  }
+  if (m_belief->generation() == before) {
+    return;
+  }
+  ++m_counts.answered_newer;
+  telemetry::Log(telemetry::LogLevel::kInfo, "peers", "belief taken from peer",
+                 {{"peer", model::ToString(peer)},
+                  {"revisions", ToText(ListedRevisionsOf(*m_belief))}});
+  m_options.changed();
+}
+
+HttpAnswer PeerExchange::Tell(const HttpQuery& query) {
+  const auto from = query.find("from");
+  const auto asker =
+      from == query.end() ? std::nullopt : model::ParseEndpoint(from->second);
+  if (asker &&
+      std::find(m_askers.begin(), m_askers.end(), *asker) == m_askers.end()) {
+    m_askers.push_back(*asker);
+    if (m_askers.size() > kMaxAskers) {
+      m_askers.pop_front();
+    }
+  }
+  const auto known = query.find("known");
+  const ListedRevisions revisions =
+      ParseListedRevisions(known == query.end() ? "" : known->second);
+  if (!IsNewer(*m_belief, revisions)) {
+    return {204, ""};
+  }
+  return {200, EncodeBelief(*m_belief, std::chrono::steady_clock::now())};
+}
+
+model::Endpoint PeerExchange::NextPeer() {
+  const size_t count = m_options.seeds.size() + m_askers.size();
+  if (count == 0) {
+    return {};
+  }
+  const size_t index = m_next_peer++ % count;
+  return index < m_options.seeds.size()
+             ? m_options.seeds[index]
+             : m_askers[index - m_options.seeds.size()];
+}
+
+std::chrono::milliseconds PeerExchange::Interval() const {
+  if (!m_belief->IsComplete()) {
+    return kUrgentAskInterval;
+  }
+  return m_options.is_store_lost() ? kDoubtAskInterval : kIdleAskInterval;
+}
+
+}  // namespace poplarsail::entry
--- /dev/null
+++ b/src/libs/entry/peer_exchange.h
@@ -0,0 +1,86 @@
+#ifndef ENTRY_PEER_EXCHANGE_H_
+#define ENTRY_PEER_EXCHANGE_H_
+
+#include <utility>
+// Boost 1.74's awaitable.hpp needs <utility> before it.
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "belief/belief.h"
+#include "entry/http_responder.h"
+#include "model/model.h"
+
+namespace poplarsail::entry {
+
+// Pause between questions while this host lacks something: no whole belief yet,
+// or its store is away.
+inline constexpr std::chrono::milliseconds kUrgentAskInterval{250};
+inline constexpr std::chrono::milliseconds kDoubtAskInterval{1'000};
+// Pause otherwise. Asking tells a seed where a host with a belief is, in case
+// the seed starts again while the store is away.
+inline constexpr std::chrono::milliseconds kIdleAskInterval{5'000};
+// A question that is not answered by then is given up.
+inline constexpr std::chrono::milliseconds kAskTimeout{400};
+// Hosts that asked are remembered up to this number.
+inline constexpr size_t kMaxAskers = 16;
+
+struct PeerCounts {
+  uint64_t asked = 0;
+  uint64_t answered_newer = 0;
+  uint64_t failed = 0;
+
+  friend bool operator==(const PeerCounts&, const PeerCounts&) = default;
+};
+
+// Learns from other entry hosts what the store does not tell, and tells them.
+// Beliefs merge by revision, so any host may be asked, however old its belief.
+class PeerExchange {
+ public:
+  struct Options {
+    model::Endpoint own_endpoint;
+    std::vector<model::Endpoint> seeds;
+    // Whether the store is away for this host.
+    std::function<bool()> is_store_lost;
+    // Called when a peer's belief changed the own one.
+    std::function<void()> changed;
+  };
+
+  PeerExchange(boost::asio::io_context* context,
+               belief::Belief* belief,
+               Options options);
+
+  void Start();
+  void set_seeds(std::vector<model::Endpoint> seeds);
+  const PeerCounts& counts() const { return m_counts; }
+
+ private:
+  boost::asio::awaitable<void> Run();
+  boost::asio::awaitable<void> Ask(model::Endpoint peer);
+  HttpAnswer Tell(const HttpQuery& query);
+  void Merge(const model::Endpoint& peer, const std::string& message);
+  // The next peer to ask: seeds and hosts that asked, in turn.
+  model::Endpoint NextPeer();
+  std::chrono::milliseconds Interval() const;
+
+  boost::asio::io_context* m_context;
+  belief::Belief* m_belief;
+  Options m_options;
+  HttpResponder m_responder;
+  boost::asio::steady_timer m_timer;
+  std::deque<model::Endpoint> m_askers;
+  size_t m_next_peer = 0;
+  std::minstd_rand m_random;
+  PeerCounts m_counts;
+};
+
+}  // namespace poplarsail::entry
+
+#endif  // ENTRY_PEER_EXCHANGE_H_
--- a/src/libs/entry/state_follower.h
+++ b/src/libs/entry/state_follower.h
@@ -41,6 +41,9 @@
   // Runs for as long as the daemon does.
   boost::asio::awaitable<void> Run();
 
+  // Whether the last call failed.
+  bool is_lost() const { return m_failures > 0; }
+
  private:
   boost::asio::awaitable<void> FollowOnce();
   boost::asio::awaitable<void> Pause(belief::milliseconds pause);
