--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -132,13 +132,20 @@
 
 void PacketLoop::TakeCheckResult(uint64_t upstream_id, bool is_alive) {
   const auto now = std::chrono::steady_clock::now();
+  const flows::Upstream* upstream =
+      m_steering->directory().FindUpstream(upstream_id);
+  const bool was_doubted =
+      upstream != nullptr &&
+      upstream->liveness.health(now) != flows::Health::kGood;
   const std::vector<flows::FlowPacket> ended =
       m_steering->RecordCheck(upstream_id, is_alive, now);
   m_counts.failed_checks += is_alive ? 0 : 1;
-  telemetry::Log(telemetry::LogLevel::kInfo, "packets",
-                 is_alive ? "upstream answers" : "upstream does not answer",
-                 {{"upstream", fmt::format("{:x}", upstream_id)},
-                  {"flows_ended", std::to_string(ended.size())}});
+  if (was_doubted || !is_alive) {
+    telemetry::Log(telemetry::LogLevel::kInfo, "packets",
+                   is_alive ? "upstream answers" : "upstream does not answer",
+                   {{"upstream", fmt::format("{:x}", upstream_id)},
+                    {"flows_ended", std::to_string(ended.size())}});
+  }
   for (const flows::FlowPacket& packet : ended) {
     Reset(packet);
   }
--- /dev/null
+++ b/tests/auto/entry/tst_peer_exchange.cc
@@ -0,0 +1,105 @@
+#include <catch2/catch.hpp>
+
+#include "entry/peer_exchange.h"
+
+#include <functional>
+#include <memory>
+
+namespace poplarsail::entry {
+namespace {
+
+using belief::Belief;
+using belief::Kind;
+
+const belief::SteadyTime kNow{std::chrono::seconds(1'000)};
+
+model::Endpoint Loopback(uint16_t port) {
+  return {boost::asio::ip::make_address("127.0.0.1"), port};
+}
+
+// A free port, as chosen by the system.
+uint16_t FreePort(boost::asio::io_context* context) {
+  boost::asio::ip::tcp::acceptor acceptor(
+      *context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return acceptor.local_endpoint().port();
+}
+
+void Complete(Belief* belief) {
+  belief::Configuration configuration;
+  configuration.version = 3;
+  belief->ApplyList<belief::Configuration>(
+      Kind::kConfiguration,
+      {Belief::ConfigurationEntry{"main", 5, configuration}}, 9, kNow);
+  belief->ApplyList<belief::UpstreamRecord>(Kind::kUpstreams, {}, 9, kNow);
+  belief->ApplyList<belief::TakeOut>(Kind::kTakeOuts, {}, 9, kNow);
+}
+
+struct Host {
+  Host(boost::asio::io_context* context,
+       uint16_t port,
+       std::vector<model::Endpoint> seeds) {
+    PeerExchange::Options options;
+    options.own_endpoint = Loopback(port);
+    options.seeds = std::move(seeds);
+    options.is_store_lost = [this]() { return is_store_lost; };
+    options.changed = [this]() { ++changes; };
+    exchange =
+        std::make_unique<PeerExchange>(context, &belief, std::move(options));
+    exchange->Start();
+  }
+
+  Belief belief;
+  bool is_store_lost = false;
+  int changes = 0;
+  std::unique_ptr<PeerExchange> exchange;
+};
+
+void RunUntil(boost::asio::io_context* context,
+              const std::function<bool()>& condition) {
+  while (!condition()) {
+    REQUIRE(context->run_one() > 0);
+  }
+}
+
+TEST_CASE("A host that starts without a store learns from a seed") {
+  boost::asio::io_context context;
+  const uint16_t seed_port = FreePort(&context);
+  const uint16_t stale_port = FreePort(&context);
+  Host seed(&context, seed_port, {});
+  Complete(&seed.belief);
+  Host host(&context, FreePort(&context),
+            {Loopback(stale_port), Loopback(seed_port)});
+  host.is_store_lost = true;
+  RunUntil(&context, [&]() { return host.belief.IsComplete(); });
+  CHECK(host.changes == 1);
+  CHECK(seed.changes == 0);
+}
+
+TEST_CASE("A seed that starts again learns from a host that asks it") {
+  boost::asio::io_context context;
+  const uint16_t seed_port = FreePort(&context);
+  Host seed(&context, seed_port, {});
+  Host host(&context, FreePort(&context), {Loopback(seed_port)});
+  Complete(&host.belief);
+  RunUntil(&context, [&]() { return seed.belief.IsComplete(); });
+  CHECK(seed.belief.configuration()->version == 3);
+}
+
+TEST_CASE("A host that lost its store hears of a newer configuration") {
+  boost::asio::io_context context;
+  const uint16_t seed_port = FreePort(&context);
+  Host seed(&context, seed_port, {});
+  Complete(&seed.belief);
+  Host host(&context, FreePort(&context), {Loopback(seed_port)});
+  Complete(&host.belief);
+  host.is_store_lost = true;
+  belief::Configuration newer;
+  newer.version = 4;
+  seed.belief.Apply(Belief::ConfigurationEntry{"main", 12, newer}, kNow);
+  seed.belief.MarkListed(Kind::kConfiguration, 12);
+  RunUntil(&context,
+           [&]() { return host.belief.configuration()->version == 4; });
+}
+
+}  // namespace
+}  // namespace poplarsail::entry
