Tell neighbours which upstream does not answer; count hosts by the seeds

Cause: in a grown fleet a host sees an upstream once in seconds, so each of 25 hosts of a domain lost a request to find a dark one. And the bound on cold upstreams was shared by a number of hosts that nobody set. Change: hosts that ask a seed learn the number of hosts and their neighbours; a failed check is told to these, who keep new flows away and check for themselves.

--- a/src/libs/entry/belief_codec.cc
+++ b/src/libs/entry/belief_codec.cc
@@ -160,22 +160,32 @@
   return false;
 }
 
-std::string EncodeBelief(const Belief& belief, belief::SteadyTime now) {
-  const json message = {
-      {"version", kBeliefMessageVersion},
-      {"configuration",
-       EncodeKind<belief::Configuration>(belief, Kind::kConfiguration, now)},
-      {"upstreams",
-       EncodeKind<belief::UpstreamRecord>(belief, Kind::kUpstreams, now)},
-      {"take_outs", EncodeKind<belief::TakeOut>(belief, Kind::kTakeOuts, now)}};
+std::string EncodeBelief(const Belief* belief,
+                         const FleetView& fleet,
+                         belief::SteadyTime now) {
+  json neighbours = json::array();
+  for (const model::Ipv4Endpoint& neighbour : fleet.neighbours) {
+    neighbours.push_back(Encode(neighbour));
+  }
+  json message = {{"version", kBeliefMessageVersion},
+                  {"host_count", fleet.host_count},
+                  {"neighbours", neighbours}};
+  if (belief != nullptr) {
+    message["configuration"] =
+        EncodeKind<belief::Configuration>(*belief, Kind::kConfiguration, now);
+    message["upstreams"] =
+        EncodeKind<belief::UpstreamRecord>(*belief, Kind::kUpstreams, now);
+    message["take_outs"] =
+        EncodeKind<belief::TakeOut>(*belief, Kind::kTakeOuts, now);
+  }
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
 }
 
-void MergeBelief(std::string_view message,
-                 Belief* belief,
-                 belief::SteadyTime now) {
+FleetView MergeBelief(std::string_view message,
+                      Belief* belief,
+                      belief::SteadyTime now) {
   if (message.size() > kMaxBeliefMessageBytes) {
     throw BeliefMessageError(
         fmt::format("{} bytes are too many", message.size()));
@@ -187,6 +197,14 @@
       throw BeliefMessageError(
           fmt::format("version {} is not {}", version, kBeliefMessageVersion));
     }
+    FleetView fleet;
+    fleet.host_count = parsed.at("host_count").get<uint32_t>();
+    for (const json& neighbour : parsed.at("neighbours")) {
+      fleet.neighbours.push_back(DecodeEndpoint(neighbour));
+    }
+    if (!parsed.contains("configuration")) {
+      return fleet;
+    }
     // All of it is read before any of it is taken.
     Belief merged = *belief;
     MergeKind<belief::Configuration>(parsed.at("configuration"),
@@ -196,6 +214,7 @@
     MergeKind<belief::TakeOut>(parsed.at("take_outs"), Kind::kTakeOuts, &merged,
                                now);
     *belief = std::move(merged);
+    return fleet;
   } catch (const json::exception& error) {
     throw BeliefMessageError(error.what());
   }
--- a/src/libs/entry/belief_codec.h
+++ b/src/libs/entry/belief_codec.h
@@ -6,6 +6,7 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "belief/belief.h"
 
@@ -30,13 +31,27 @@
 // Whether `belief` knows something that a host with `known` does not.
 bool IsNewer(const belief::Belief& belief, const ListedRevisions& known);
 
-// Returns all that is known, as msgpack.
-std::string EncodeBelief(const belief::Belief& belief, belief::SteadyTime now);
+// What a host knows of the others.
+struct FleetView {
+  // Entry hosts of the fleet; 0 where that is not known.
+  uint32_t host_count = 0;
+  // Where entry hosts of the asker's failure domain take findings.
+  std::vector<model::Ipv4Endpoint> neighbours;
 
-// Merges a message into `belief`, by revision. Throws BeliefMessageError.
-void MergeBelief(std::string_view message,
-                 belief::Belief* belief,
-                 belief::SteadyTime now);
+  friend bool operator==(const FleetView&, const FleetView&) = default;
+};
+
+// Returns a message, as msgpack. `belief` is nullptr where the asker knows it
+// all.
+std::string EncodeBelief(const belief::Belief* belief,
+                         const FleetView& fleet,
+                         belief::SteadyTime now);
+
+// Merges a message into `belief`, by revision, and returns what it tells of the
+// fleet. Throws BeliefMessageError.
+FleetView MergeBelief(std::string_view message,
+                      belief::Belief* belief,
+                      belief::SteadyTime now);
 
 // "1,2,3,4"; unreadable parts count as 0.
 std::string ToText(const ListedRevisions& revisions);
--- a/src/libs/entry/entry.h
+++ b/src/libs/entry/entry.h
@@ -5,6 +5,7 @@
 #include "entry/belief_codec.h"
 #include "entry/entry_daemon.h"
 #include "entry/entry_settings.h"
+#include "entry/findings_port.h"
 #include "entry/flow_codec.h"
 #include "entry/http_responder.h"
 #include "entry/metrics.h"
--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "belief/belief.h"
+#include "entry/findings_port.h"
 #include "entry/http_responder.h"
 #include "entry/metrics.h"
 #include "entry/packet_loop.h"
@@ -32,9 +33,14 @@
 // Lapses, idle flows and log lines are looked after this often.
 constexpr std::chrono::milliseconds kTickInterval{250};
 
-std::unique_ptr<flows::Placement> MakePlacement(const EntrySettings& settings) {
-  return std::make_unique<flows::LocalFirstPlacement>(settings.failure_domain,
-                                                      std::random_device()());
+// Returns the placement and leaves a pointer to it in `view`.
+std::unique_ptr<flows::Placement> MakePlacement(
+    const EntrySettings& settings,
+    flows::LocalFirstPlacement** view) {
+  auto placement = std::make_unique<flows::LocalFirstPlacement>(
+      settings.failure_domain, std::random_device()());
+  *view = placement.get();
+  return placement;
 }
 
 }  // namespace
@@ -44,20 +50,27 @@
         const EntrySettings& settings,
         const FlowCodec* codec)
       : log(STDOUT_FILENO),
-        steering(MakePlacement(settings)),
+        steering(MakePlacement(settings, &placement)),
         packets(context, settings, codec, &steering),
         readiness(context, settings.readiness),
         metrics(context, {settings.packets.address, settings.metrics_port}),
+        findings(
+            context,
+            {settings.peers.address, settings.findings_port},
+            [this](uint64_t upstream_id) { packets.TakeFinding(upstream_id); }),
         tick(*context),
         stop(*context),
         signals(*context, SIGTERM, SIGINT, SIGHUP) {}
 
   telemetry::BoundedLogSink log;
   belief::Belief belief;
+  // Owned by the steering.
+  flows::LocalFirstPlacement* placement = nullptr;
   flows::Steering steering;
   PacketLoop packets;
   HttpResponder readiness;
   HttpResponder metrics;
+  FindingsPort findings;
   std::vector<std::unique_ptr<StateFollower>> followers;
   std::unique_ptr<PeerExchange> peers;
   belief::SteadyTime next_settings_check;
@@ -116,12 +129,21 @@
   m_parts->metrics.Start();
   PeerExchange::Options options;
   options.own_endpoint = m_settings.peers;
+  options.failure_domain = m_settings.failure_domain;
+  options.findings = {m_settings.peers.address, m_settings.findings_port};
   options.seeds = m_settings.seeds;
   options.is_store_lost = [this]() {
     return std::any_of(m_parts->followers.begin(), m_parts->followers.end(),
                        [](const auto& f) { return f->is_lost(); });
   };
   options.changed = [this]() { BeliefChanged(); };
+  options.fleet_seen = [this](const FleetView& fleet) {
+    m_parts->placement->set_host_count(fleet.host_count);
+    m_parts->findings.set_neighbours(fleet.neighbours);
+  };
+  m_parts->packets.set_on_finding(
+      [this](uint64_t upstream_id) { m_parts->findings.Tell(upstream_id); });
+  m_parts->findings.Start();
   m_parts->peers = std::make_unique<PeerExchange>(m_context, &m_parts->belief,
                                                   std::move(options));
   m_parts->peers->Start();
--- a/src/libs/entry/entry_settings.cc
+++ b/src/libs/entry/entry_settings.cc
@@ -40,6 +40,9 @@
        "TCP address and port at which the fabric asks for readiness."},
       {"peers", "endpoint", Type::kEndpoint, "", 0, 0,
        "TCP address and port for other entry hosts."},
+      {"peers", "findings_port", Type::kNumber, "8173", 1, 65'535,
+       "UDP port for findings about upstreams, on the address of the peers' "
+       "endpoint."},
       {"peers", "seeds", Type::kText, "none", 0, 0,
        "Addresses of other entry hosts to ask at start, joined by commas; "
        "\"none\" where there are none."},
@@ -68,6 +71,8 @@
   settings.caller_port = settings.packets.port;
   settings.readiness = endpoint("readiness.endpoint");
   settings.peers = endpoint("peers.endpoint");
+  settings.findings_port =
+      static_cast<uint16_t>(std::stoi(values.at("peers.findings_port")));
   if (values.at("peers.seeds") != "none") {
     settings.seeds = ParseSeeds(values.at("peers.seeds"), source);
   }
--- a/src/libs/entry/entry_settings.h
+++ b/src/libs/entry/entry_settings.h
@@ -22,6 +22,8 @@
   model::Endpoint readiness;
   // Where other entry hosts ask for what this one knows.
   model::Endpoint peers;
+  // UDP port for findings about upstreams, on the address of `peers`.
+  uint16_t findings_port = 0;
   // Addresses at which other entry hosts may be found at start.
   std::vector<model::Endpoint> seeds;
   model::Endpoint store;
--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -134,9 +134,11 @@
   const auto now = std::chrono::steady_clock::now();
   const flows::Upstream* upstream =
       m_steering->directory().FindUpstream(upstream_id);
-  const bool was_doubted =
-      upstream != nullptr &&
-      upstream->liveness.health(now) != flows::Health::kGood;
+  const flows::Health health = upstream == nullptr
+                                   ? flows::Health::kGood
+                                   : upstream->liveness.health(now);
+  const bool was_doubted = health != flows::Health::kGood;
+  const bool was_presumed_dead = health == flows::Health::kPresumedDead;
   const std::vector<flows::FlowPacket> ended =
       m_steering->RecordCheck(upstream_id, is_alive, now);
   m_counts.failed_checks += is_alive ? 0 : 1;
@@ -150,6 +152,18 @@
     Reset(packet);
   }
   Flush();
+  const bool is_news = !is_alive && !was_presumed_dead;
+  if (is_news && m_on_finding) {
+    m_on_finding(upstream_id);
+  }
+}
+
+void PacketLoop::TakeFinding(uint64_t upstream_id) {
+  const flows::Upstream* upstream =
+      m_steering->TakeHint(upstream_id, std::chrono::steady_clock::now());
+  if (upstream != nullptr) {
+    StartCheck(*upstream);
+  }
 }
 
 void PacketLoop::Handle(std::span<const uint8_t> datagram,
--- a/src/libs/entry/packet_loop.h
+++ b/src/libs/entry/packet_loop.h
@@ -7,7 +7,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <span>
+#include <utility>
 #include <vector>
 
 #include "entry/entry_settings.h"
@@ -44,6 +46,14 @@
              const FlowCodec* codec,
              flows::Steering* steering);
 
+  // A neighbour finds that the upstream does not answer.
+  void TakeFinding(uint64_t upstream_id);
+
+  // Called with each upstream that this host newly finds not to answer.
+  void set_on_finding(std::function<void(uint64_t)> on_finding) {
+    m_on_finding = std::move(on_finding);
+  }
+
   // Looks again after upstreams that are presumed dead.
   void CheckDoubted();
 
@@ -85,6 +95,7 @@
   bool m_is_expecting = false;
   std::deque<HeldPacket> m_held;
   PacketCounts m_counts;
+  std::function<void(uint64_t)> m_on_finding;
 };
 
 }  // namespace poplarsail::entry
--- a/src/libs/entry/peer_exchange.cc
+++ b/src/libs/entry/peer_exchange.cc
@@ -77,9 +77,11 @@
                                   asio::use_awaitable);
     http::request<http::empty_body> request(
         http::verb::get,
-        fmt::format("{}?known={}&from={}", kBeliefPath,
+        fmt::format("{}?known={}&from={}&findings={}&domain={}", kBeliefPath,
                     ToText(ListedRevisionsOf(*m_belief)),
-                    model::ToString(m_options.own_endpoint)),
+                    model::ToString(m_options.own_endpoint),
+                    model::ToString(m_options.findings),
+                    m_options.failure_domain),
         11);
     request.set(http::field::host, model::ToString(peer));
     co_await http::async_write(stream, request, asio::use_awaitable);
@@ -100,7 +102,12 @@
                          const std::string& message) {
   const uint64_t before = m_belief->generation();
   try {
-    MergeBelief(message, m_belief, std::chrono::steady_clock::now());
+    const FleetView fleet =
+        MergeBelief(message, m_belief, std::chrono::steady_clock::now());
+    if (fleet.host_count > 0) {
+      m_host_count = fleet.host_count;
+      m_options.fleet_seen(fleet);
+    }
   } catch (const BeliefMessageError& error) {
     ++m_counts.failed;
     telemetry::Log(telemetry::LogLevel::kWarning, "peers", "message refused",
@@ -118,23 +125,58 @@
 }
 
 HttpAnswer PeerExchange::Tell(const HttpQuery& query) {
-  const auto from = query.find("from");
-  const auto asker =
-      from == query.end() ? std::nullopt : model::ParseEndpoint(from->second);
-  if (asker &&
-      std::find(m_askers.begin(), m_askers.end(), *asker) == m_askers.end()) {
-    m_askers.push_back(*asker);
-    if (m_askers.size() > kMaxAskers) {
-      m_askers.pop_front();
-    }
-  }
+  RememberAsker(query);
   const auto known = query.find("known");
   const ListedRevisions revisions =
       ParseListedRevisions(known == query.end() ? "" : known->second);
-  if (!IsNewer(*m_belief, revisions)) {
-    return {204, ""};
+  const auto domain = query.find("domain");
+  const FleetView fleet = ViewFor(domain == query.end() ? "" : domain->second);
+  const belief::Belief* news =
+      IsNewer(*m_belief, revisions) ? m_belief : nullptr;
+  return {200, EncodeBelief(news, fleet, std::chrono::steady_clock::now())};
+}
+
+void PeerExchange::RememberAsker(const HttpQuery& query) {
+  const auto value = [&query](const char* key) {
+    const auto found = query.find(key);
+    return found == query.end() ? std::string() : found->second;
+  };
+  const auto endpoint = model::ParseEndpoint(value("from"));
+  const auto findings = model::ParseIpv4Endpoint(value("findings"));
+  if (!endpoint || !findings) {
+    return;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  const auto oldest = now - kAskerPauses * Interval();
+  std::erase_if(m_askers, [&](const Asker& asker) {
+    return asker.endpoint == *endpoint || asker.last_asked < oldest;
+  });
+  m_askers.push_back({*endpoint, *findings, value("domain"), now});
+  if (m_askers.size() > kMaxAskers) {
+    m_askers.pop_front();
   }
-  return {200, EncodeBelief(*m_belief, std::chrono::steady_clock::now())};
+}
+
+FleetView PeerExchange::ViewFor(const std::string& failure_domain) const {
+  FleetView fleet;
+  fleet.host_count = static_cast<uint32_t>(m_askers.size());
+  const bool asks_itself =
+      std::any_of(m_askers.begin(), m_askers.end(), [this](const Asker& asker) {
+        return asker.endpoint == m_options.own_endpoint;
+      });
+  fleet.host_count += asks_itself ? 0 : 1;
+  for (const Asker& asker : m_askers) {
+    if (asker.failure_domain == failure_domain &&
+        fleet.neighbours.size() < kMaxNeighbours) {
+      fleet.neighbours.push_back(asker.findings);
+    }
+  }
+  const auto own =
+      model::ParseIpv4Endpoint(model::ToString(m_options.findings));
+  if (own && m_options.failure_domain == failure_domain) {
+    fleet.neighbours.push_back(*own);
+  }
+  return fleet;
 }
 
 model::Endpoint PeerExchange::NextPeer() {
@@ -145,14 +187,17 @@
   const size_t index = m_next_peer++ % count;
   return index < m_options.seeds.size()
              ? m_options.seeds[index]
-             : m_askers[index - m_options.seeds.size()];
+             : m_askers[index - m_options.seeds.size()].endpoint;
 }
 
 std::chrono::milliseconds PeerExchange::Interval() const {
   if (!m_belief->IsComplete()) {
     return kUrgentAskInterval;
   }
-  return m_options.is_store_lost() ? kDoubtAskInterval : kIdleAskInterval;
+  if (m_options.is_store_lost()) {
+    return kDoubtAskInterval;
+  }
+  return std::max(kIdleAskInterval, m_host_count * kIdleAskIntervalPerHost);
 }
 
 }  // namespace poplarsail::entry
--- a/src/libs/entry/peer_exchange.h
+++ b/src/libs/entry/peer_exchange.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "belief/belief.h"
+#include "entry/belief_codec.h"
 #include "entry/http_responder.h"
 #include "model/model.h"
 
@@ -27,10 +28,19 @@
 // Pause otherwise. Asking tells a seed where a host with a belief is, in case
 // the seed starts again while the store is away.
 inline constexpr std::chrono::milliseconds kIdleAskInterval{5'000};
+// In large fleets the pause grows by this much a host, so that each of three
+// seeds answers 17 questions a second at the most.
+inline constexpr std::chrono::milliseconds kIdleAskIntervalPerHost{20};
 // A question that is not answered by then is given up.
 inline constexpr std::chrono::milliseconds kAskTimeout{400};
+// Hosts that asked count as members for this many pauses.
+inline constexpr int kAskerPauses = 6;
 // Hosts that asked are remembered up to this number.
-inline constexpr size_t kMaxAskers = 16;
+inline constexpr size_t kMaxAskers = 4'096;
+// Of the hosts that asked, this many are asked at once at start.
+inline constexpr size_t kMaxAskedAtOnce = 8;
+// Neighbours that a host tells its findings to.
+inline constexpr size_t kMaxNeighbours = 64;
 
 struct PeerCounts {
   uint64_t asked = 0;
@@ -46,11 +56,16 @@
  public:
   struct Options {
     model::Endpoint own_endpoint;
+    std::string failure_domain;
+    // Where this host takes findings of its neighbours.
+    model::Endpoint findings;
     std::vector<model::Endpoint> seeds;
     // Whether the store is away for this host.
     std::function<bool()> is_store_lost;
     // Called when a peer's belief changed the own one.
     std::function<void()> changed;
+    // Called with what a peer knows of the fleet.
+    std::function<void(const FleetView&)> fleet_seen;
   };
 
   PeerExchange(boost::asio::io_context* context,
@@ -64,7 +79,16 @@
  private:
   boost::asio::awaitable<void> Run();
   boost::asio::awaitable<void> Ask(model::Endpoint peer);
+  struct Asker {
+    model::Endpoint endpoint;
+    model::Ipv4Endpoint findings;
+    std::string failure_domain;
+    belief::SteadyTime last_asked;
+  };
+
   HttpAnswer Tell(const HttpQuery& query);
+  void RememberAsker(const HttpQuery& query);
+  FleetView ViewFor(const std::string& failure_domain) const;
   void Merge(const model::Endpoint& peer, const std::string& message);
   // The next peer to ask: seeds and hosts that asked, in turn.
   model::Endpoint NextPeer();
@@ -75,7 +99,8 @@
   Options m_options;
   HttpResponder m_responder;
   boost::asio::steady_timer m_timer;
-  std::deque<model::Endpoint> m_askers;
+  std::deque<Asker> m_askers;
+  uint32_t m_host_count = 0;
   size_t m_next_peer = 0;
   std::minstd_rand m_random;
   PeerCounts m_counts;
--- a/src/libs/flows/liveness.cc
+++ b/src/libs/flows/liveness.cc
@@ -22,6 +22,11 @@
   m_next_probe = now + kProbationDelay;
 }
 
+void Liveness::RecordHint(SteadyTime now) {
+  m_unanswered = std::max(m_unanswered, kSuspectAttempts);
+  m_next_probe = std::max(m_next_probe, now + kProbationDelay);
+}
+
 void Liveness::RecordFailedCheck(SteadyTime now) {
   m_unanswered = std::max(m_unanswered, kPresumedDeadAttempts);
   m_first_unanswered = std::min(m_first_unanswered, now - kPresumedDeadSpan);
--- a/src/libs/flows/liveness.h
+++ b/src/libs/flows/liveness.h
@@ -37,6 +37,9 @@
   // An attempt that began at `sent` has had no answer until `now`.
   void RecordUnanswered(SteadyTime sent, SteadyTime now);
 
+  // Another host finds no answer: a suspicion until own evidence decides.
+  void RecordHint(SteadyTime now);
+
   // A check that does not depend on packets of flows failed.
   void RecordFailedCheck(SteadyTime now);
 
--- a/src/libs/flows/local_first_placement.h
+++ b/src/libs/flows/local_first_placement.h
@@ -9,6 +9,10 @@
 
 namespace poplarsail::flows {
 
+// Entry hosts that share what a cold upstream bears, until their number is
+// known: more than today's fleets have, so that the sum stays within bounds.
+inline constexpr size_t kAssumedHosts = 100;
+
 // Load pattern: callers of a failure domain keep flows open for long, and the
 // domain's own upstreams usually bear them, so the least loaded of these takes
 // a new flow. When few are left there, flows spill over to other domains before
@@ -34,7 +38,7 @@
 
   std::string m_failure_domain;
   std::mt19937_64 m_random;
-  size_t m_host_count = 1;
+  size_t m_host_count = kAssumedHosts;
 };
 
 }  // namespace poplarsail::flows
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -320,6 +320,15 @@
   return ended;
 }
 
+const Upstream* Steering::TakeHint(uint64_t upstream_id, SteadyTime now) {
+  Upstream* upstream = m_directory.FindUpstream(upstream_id);
+  if (upstream == nullptr || !StartCheck(upstream, now)) {
+    return nullptr;
+  }
+  upstream->liveness.RecordHint(now);
+  return upstream;
+}
+
 std::vector<const Upstream*> Steering::DueChecks(SteadyTime now) {
   std::vector<const Upstream*> due;
   for (const auto& [id, upstream] : m_directory.upstreams()) {
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -95,6 +95,10 @@
                                       bool is_alive,
                                       SteadyTime now);
 
+  // Another host finds that the upstream does not answer. Returns it where it
+  // should be checked.
+  const Upstream* TakeHint(uint64_t upstream_id, SteadyTime now);
+
   // The upstreams that are presumed dead and should be checked again.
   std::vector<const Upstream*> DueChecks(SteadyTime now);
 
--- a/tests/auto/entry/tst_belief_codec.cc
+++ b/tests/auto/entry/tst_belief_codec.cc
@@ -47,7 +47,7 @@
   Belief receiver;
   // Steady clocks of hosts have nothing to do with each other.
   const belief::SteadyTime later{50'000s};
-  MergeBelief(EncodeBelief(sender, kNow), &receiver, later);
+  MergeBelief(EncodeBelief(&sender, {}, kNow), &receiver, later);
   CHECK(receiver.IsComplete());
   CHECK(receiver.configuration() == sender.configuration());
   CHECK(receiver.IsTakenOut("brandon"));
@@ -60,7 +60,7 @@
 
 TEST_CASE("An older belief takes nothing back") {
   Belief receiver = MakeBelief();
-  const std::string old_message = EncodeBelief(receiver, kNow);
+  const std::string old_message = EncodeBelief(&receiver, {}, kNow);
   belief::UpstreamRecord draining = receiver.upstreams().at("i-1").record;
   draining.phase = belief::UpstreamPhase::kDraining;
   receiver.Apply(Belief::UpstreamEntry{"i-1", 12, draining}, kNow);
@@ -77,14 +77,16 @@
 
 TEST_CASE("What a peer never listed removes nothing") {
   Belief receiver = MakeBelief();
-  MergeBelief(EncodeBelief(Belief(), kNow), &receiver, kNow);
+  const Belief empty;
+  MergeBelief(EncodeBelief(&empty, {}, kNow), &receiver, kNow);
   CHECK(receiver.upstreams().size() == 1);
   CHECK_FALSE(receiver.upstreams().at("i-1").is_lapsed);
   CHECK(receiver.IsTakenOut("brandon"));
 }
 
 TEST_CASE("A message that can't be used changes nothing") {
-  const std::string whole = EncodeBelief(MakeBelief(), kNow);
+  const Belief sender = MakeBelief();
+  const std::string whole = EncodeBelief(&sender, {}, kNow);
   nlohmann::json parsed = nlohmann::json::from_msgpack(whole);
   std::string message;
   SECTION("empty") {}
@@ -112,8 +114,9 @@
 }
 
 TEST_CASE("Unknown fields are skipped") {
+  const Belief sender = MakeBelief();
   nlohmann::json parsed =
-      nlohmann::json::from_msgpack(EncodeBelief(MakeBelief(), kNow));
+      nlohmann::json::from_msgpack(EncodeBelief(&sender, {}, kNow));
   parsed["later_addition"] = {1, 2, 3};
   parsed["upstreams"]["objects"][0][2]["weight"] = 4;
   std::string message;
@@ -123,6 +126,14 @@
   CHECK(receiver.IsComplete());
 }
 
+TEST_CASE("A message tells of the fleet, with or without a belief") {
+  const FleetView fleet{9, {{0x0a000001, 7720}, {0x0a000002, 7720}}};
+  Belief receiver;
+  CHECK(MergeBelief(EncodeBelief(nullptr, fleet, kNow), &receiver, kNow) ==
+        fleet);
+  CHECK(receiver.generation() == 0);
+}
+
 TEST_CASE("Listed revisions travel as text") {
   const ListedRevisions revisions = {1, 22, 0, 4'000'000'000'000};
   CHECK(ParseListedRevisions(ToText(revisions)) == revisions);
--- a/tests/auto/entry/tst_peer_exchange.cc
+++ b/tests/auto/entry/tst_peer_exchange.cc
@@ -40,9 +40,12 @@
        std::vector<model::Endpoint> seeds) {
     PeerExchange::Options options;
     options.own_endpoint = Loopback(port);
+    options.failure_domain = "regina";
+    options.findings = Loopback(static_cast<uint16_t>(port ^ 1));
     options.seeds = std::move(seeds);
     options.is_store_lost = [this]() { return is_store_lost; };
     options.changed = [this]() { ++changes; };
+    options.fleet_seen = [this](const FleetView& seen) { fleet = seen; };
     exchange =
         std::make_unique<PeerExchange>(context, &belief, std::move(options));
     exchange->Start();
@@ -51,6 +54,7 @@
   Belief belief;
   bool is_store_lost = false;
   int changes = 0;
+  FleetView fleet;
   std::unique_ptr<PeerExchange> exchange;
 };
 
@@ -85,6 +89,18 @@
   CHECK(seed.belief.configuration()->version == 3);
 }
 
+TEST_CASE("A seed tells how many hosts there are, and who is near") {
+  boost::asio::io_context context;
+  const uint16_t seed_port = FreePort(&context);
+  Host seed(&context, seed_port, {});
+  Complete(&seed.belief);
+  Host first(&context, FreePort(&context), {Loopback(seed_port)});
+  RunUntil(&context, [&]() { return first.fleet.host_count == 2; });
+  Host second(&context, FreePort(&context), {Loopback(seed_port)});
+  RunUntil(&context, [&]() { return second.fleet.host_count == 3; });
+  CHECK(second.fleet.neighbours.size() == 3);
+}
+
 TEST_CASE("A host that lost its store hears of a newer configuration") {
   boost::asio::io_context context;
   const uint16_t seed_port = FreePort(&context);
--- a/tests/auto/flows/tst_steering.cc
+++ b/tests/auto/flows/tst_steering.cc
@@ -253,6 +253,32 @@
   }
 }
 
+TEST_CASE("A neighbour's finding keeps new flows away and is checked") {
+  // Load pattern: in a large fleet each host sees an upstream once in seconds;
+  // without findings each of them loses a request to find out.
+  FlowFixture fixture;
+  fixture.AddUpstream(1);
+  fixture.AddUpstream(2);
+  const Upstream* check = fixture.steering.TakeHint(1, fixture.now);
+  REQUIRE(check != nullptr);
+  CHECK(fixture.steering.TakeHint(1, fixture.now) == nullptr);
+  for (uint16_t port = 1; port <= 10; ++port) {
+    CHECK(fixture.steering.Decide(FlowFixture::Opening(port), fixture.now)
+              .upstream->record.id == 2);
+  }
+  SECTION("a hint alone ends no flow") {
+    const uint32_t tag = MakeTag(kTallyListener, TagBase(1));
+    CHECK(fixture.steering
+              .Decide(FlowFixture::Data(20, tag, 101, 500), fixture.now)
+              .action == Action::kForward);
+  }
+  SECTION("an own check refutes it") {
+    fixture.steering.RecordCheck(1, true, fixture.now + 5ms);
+    CHECK(fixture.steering.directory().FindUpstream(1)->liveness.health(
+              fixture.now + 5ms) == Health::kGood);
+  }
+}
+
 TEST_CASE("A failed check is refuted by an answer that came meanwhile") {
   // One lost packet of a check broke flows on quiet days (ptrc-blankets).
   FlowFixture fixture;
