--- /dev/null
+++ b/soak/entry_process.cc
@@ -0,0 +1,108 @@
+#include "soak/entry_process.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <fstream>
+#include <system_error>
+#include <utility>
+
+#include <fmt/format.h>
+
+extern char** environ;
+
+namespace poplarsail::soak {
+
+namespace {
+
+constexpr uint16_t kReadinessPort = 18'167;
+constexpr uint16_t kPeersPort = 18'166;
+constexpr uint16_t kFindingsPort = 18'168;
+constexpr uint16_t kMetricsPort = 18'169;
+
+}  // namespace
+
+EntryProcess::EntryProcess(EntryProcessOptions options)
+    : m_options(std::move(options)) {}
+
+EntryProcess::~EntryProcess() {
+  if (m_pid > 0) {
+    ::kill(m_pid, SIGKILL);
+    ::waitpid(m_pid, nullptr, 0);
+  }
+}
+
+model::Endpoint EntryProcess::readiness() const {
+  return {boost::asio::ip::make_address(m_options.address), kReadinessPort};
+}
+
+void EntryProcess::WriteSettings() const {
+  std::ofstream file(m_options.directory + "/" + m_options.name + ".ini");
+  file << fmt::format(
+      "[host]\nname = {}\nfailure_domain = {}\n[packets]\nendpoint = {}:{}\n"
+      "[readiness]\nendpoint = {}:{}\n[peers]\nendpoint = {}:{}\n"
+      "findings_port = {}\nseeds = {}\n[store]\nendpoint = {}\n"
+      "[metrics]\nport = {}\n[stop]\nlinger_ms = 1500\n",
+      m_options.name, m_options.failure_domain, m_options.address,
+      m_options.packet_port, m_options.address, kReadinessPort,
+      m_options.address, kPeersPort, kFindingsPort, m_options.seeds,
+      model::ToString(m_options.store), kMetricsPort);
+}
+
+void EntryProcess::Start() {
+  WriteSettings();
+  const std::string base = m_options.directory + "/" + m_options.name;
+  const std::string settings = base + ".ini";
+  const std::string log = base + ".log";
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // Sockets of stand-ins would else outlive their crash in the daemon.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+  std::array<const char*, 5> arguments = {m_options.program.c_str(), "serve",
+                                          "--settings", settings.c_str(),
+                                          nullptr};
+  const int error =
+      ::posix_spawn(&m_pid, m_options.program.c_str(), &actions, nullptr,
+                    const_cast<char* const*>(arguments.data()), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) {
+    m_pid = 0;
+    throw std::system_error(error, std::generic_category(),
+                            m_options.program + " can't be started");
+  }
+  stop_deadline.reset();
+  is_kill_expected = false;
+}
+
+void EntryProcess::Signal(int signal) {
+  if (m_pid > 0) {
+    ::kill(m_pid, signal);
+  }
+}
+
+std::optional<int> EntryProcess::Reap() {
+  int status = 0;
+  if (m_pid <= 0 || ::waitpid(m_pid, &status, WNOHANG) != m_pid) {
+    return std::nullopt;
+  }
+  m_pid = 0;
+  return status;
+}
+
+uint64_t EntryProcess::ResidentBytes() const {
+  std::ifstream file(fmt::format("/proc/{}/statm", m_pid));
+  uint64_t total = 0;
+  uint64_t resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<uint64_t>(::sysconf(_SC_PAGESIZE));
+}
+
+}  // namespace poplarsail::soak
--- /dev/null
+++ b/soak/main.cc
@@ -0,0 +1,98 @@
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+#include <cxxopts.hpp>
+#include <nlohmann/json.hpp>
+
+#include "soak/scenario.h"
+
+namespace {
+
+using nlohmann::json;
+using poplarsail::soak::Scenario;
+using poplarsail::soak::ScenarioOptions;
+using poplarsail::soak::ScenarioResult;
+
+// Runs one seed in a folder of its own, which stays when something failed.
+ScenarioResult RunSeed(const cxxopts::ParseResult& arguments, uint64_t seed) {
+  const auto logs = arguments["logs"].as<std::string>();
+  ScenarioOptions options;
+  options.program = arguments["program"].as<std::string>();
+  options.directory = fmt::format("{}/seed-{}", logs, seed);
+  options.seed = seed;
+  options.network = arguments["network"].as<int>();
+  options.hosts_per_domain = arguments["hosts"].as<int>();
+  options.fault_time = std::chrono::seconds(arguments["seconds"].as<int>());
+  options.plant = arguments["plant"].as<std::string>();
+  std::filesystem::create_directories(options.directory);
+  const ScenarioResult result = Scenario(options).Run();
+  fmt::print(stderr,
+             "seed {}: {} faults, {} asked, {} served, {} failed, {} resets\n",
+             seed, result.faults, result.counts.asked, result.counts.served,
+             result.counts.failed, result.counts.resets);
+  for (const auto& [promise, details] : result.violations) {
+    for (const std::string& detail : details) {
+      fmt::print(stderr, "seed {}: {}: {}\n", seed, promise, detail);
+    }
+  }
+  if (result.violations.empty()) {
+    std::filesystem::remove_all(options.directory);
+  }
+  return result;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("poplarsail-soak",
+                           "Runs real daemons under random faults");
+  options.add_options()("program", "The poplarsail program",
+                        cxxopts::value<std::string>())(
+      "seeds", "Number of seeds",
+      cxxopts::value<uint64_t>()->default_value("1"))(
+      "from", "First seed", cxxopts::value<uint64_t>()->default_value("1"))(
+      "seconds", "Seconds with faults in each run",
+      cxxopts::value<int>()->default_value("12"))(
+      "hosts", "Entry hosts in each failure domain",
+      cxxopts::value<int>()->default_value("2"))(
+      "logs", "Folder for settings and logs",
+      cxxopts::value<std::string>()->default_value("/tmp/poplarsail-soak"))(
+      "network", "Second number of all loopback addresses",
+      cxxopts::value<int>()->default_value("10"))(
+      "plant", "Plant a fault that the check of this name has to find",
+      cxxopts::value<std::string>()->default_value(""))(
+      "json", "Print the result as one line of JSON")("h,help",
+                                                      "Show this help");
+  try {
+    const cxxopts::ParseResult arguments = options.parse(argc, argv);
+    if (arguments.count("help") > 0 || arguments.count("program") == 0) {
+      fmt::print("{}", options.help());
+      return arguments.count("help") > 0 ? EXIT_SUCCESS : 2;
+    }
+    const auto from = arguments["from"].as<uint64_t>();
+    const auto count = arguments["seeds"].as<uint64_t>();
+    json failed = json::array();
+    size_t violations = 0;
+    for (uint64_t seed = from; seed < from + count; ++seed) {
+      const ScenarioResult result = RunSeed(arguments, seed);
+      violations += result.violations.size();
+      if (!result.violations.empty()) {
+        failed.push_back({{"seed", seed}, {"violations", result.violations}});
+      }
+    }
+    if (arguments.count("json") > 0) {
+      const json summary = {
+          {"seeds", count}, {"violations", violations}, {"failed", failed}};
+      fmt::print("{}\n", summary.dump());
+    }
+    return violations == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  } catch (const std::exception& error) {
+    fmt::print(stderr, "{}\n", error.what());
+    return EXIT_FAILURE;
+  }
+}
--- a/src/libs/entry/state_follower.h
+++ b/src/libs/entry/state_follower.h
@@ -13,8 +13,10 @@
 
 namespace poplarsail::entry {
 
-// One watch waits this long at the most; each one is a priced call.
-inline constexpr std::chrono::seconds kWatchWait{25};
+// One watch waits this long at the most. A connection that went silent, also one
+// whose keep-alive something in between still answers, is noticed when an answer
+// is overdue; that has to be within the stable window of 4 s.
+inline constexpr std::chrono::seconds kWatchWait{3};
 // Pause after a watch that brought changes, so that one call brings several.
 // Bounds on configurations and drains are 3 s and more.
 inline constexpr belief::milliseconds kWatchPause{300};
