Keep open flows at their upstream after stalls; let drained upstreams lapse

Causes: a paused host placed the first copy of an opening packet seconds later on another upstream, whose late answer changed the caller's tag; a draining upstream whose registration vanished was taken to be gone at once, though it may serve its flows for seconds. Change: an open flow stays with the upstream whose tag came back first; a host drops opening packets that waited while it stood still; drained upstreams lapse like others, get a check at once and end when it fails or when their address is in use again.

--- a/src/libs/belief/belief.cc
+++ b/src/libs/belief/belief.cc
@@ -26,6 +26,7 @@
     return;
   }
   m_lapse_deadlines.erase(entry.name);
+  DropLapsedAt(entry.value->endpoint);
   m_upstreams[entry.name] = {*entry.value, entry.revision, false};
   ++m_generation;
 }
@@ -81,17 +82,24 @@
   }
 }
 
+void Belief::DropLapsedAt(const model::Ipv4Endpoint& endpoint) {
+  std::erase_if(m_lapse_deadlines, [&](const auto& item) {
+    const auto lapsed = m_upstreams.find(item.first);
+    const bool is_succeeded = lapsed != m_upstreams.end() &&
+                              lapsed->second.record.endpoint == endpoint;
+    if (is_succeeded) {
+      m_upstreams.erase(lapsed);
+    }
+    return is_succeeded;
+  });
+}
+
 void Belief::Lapse(const std::string& name, SteadyTime now) {
   const auto found = m_upstreams.find(name);
   if (found == m_upstreams.end()) {
     return;
   }
   ++m_generation;
-  if (found->second.record.phase == UpstreamPhase::kDraining) {
-    m_lapse_deadlines.erase(name);
-    m_upstreams.erase(found);
-    return;
-  }
   found->second.is_lapsed = true;
   m_lapse_deadlines.try_emplace(name, now + kLapseGrace);
 }
--- a/src/libs/belief/belief.h
+++ b/src/libs/belief/belief.h
@@ -25,7 +25,8 @@
 struct KnownUpstream {
   UpstreamRecord record;
   uint64_t revision = 0;
-  // The registration vanished and the upstream never said that it leaves.
+  // The registration vanished. The upstream may be gone, or may just not have
+  // reached the store, even while it drains.
   bool is_lapsed = false;
 
   friend bool operator==(const KnownUpstream&, const KnownUpstream&) = default;
@@ -102,6 +103,8 @@
 
  private:
   void Lapse(const std::string& name, SteadyTime now);
+  // An address that is in use again proves that its last user is gone.
+  void DropLapsedAt(const model::Ipv4Endpoint& endpoint);
 
   std::optional<Configuration> m_configuration;
   uint64_t m_configuration_revision = 0;
--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -249,6 +249,7 @@
 }
 
 void EntryDaemon::Tick() {
+  m_parts->packets.Turn();
   const auto now = std::chrono::steady_clock::now();
   const uint64_t before = m_parts->belief.generation();
   m_parts->belief.Advance(now);
--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -1,5 +1,6 @@
 #include "entry/packet_loop.h"
 
+#include <time.h>
 #include <unistd.h>
 
 #include <string>
@@ -55,8 +56,8 @@
              kMaxPacketBytes),
       m_descriptor(*context, ::dup(m_port.fd())),
       m_checker(context,
-                [this](uint64_t upstream_id, bool is_alive) {
-                  TakeCheckResult(upstream_id, is_alive);
+                [this](uint64_t upstream_id, CheckResult result) {
+                  TakeCheckResult(upstream_id, result);
                 }),
       m_expectation_timer(*context) {}
 
@@ -71,7 +72,28 @@
                           });
 }
 
+void PacketLoop::NoteTurn() {
+  timespec boot_time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &boot_time);
+  const bool is_stalled =
+      m_stall_detector.NoteTurn(std::chrono::seconds(boot_time.tv_sec) +
+                                std::chrono::nanoseconds(boot_time.tv_nsec));
+  if (is_stalled) {
+    m_is_catching_up = true;
+    telemetry::Log(telemetry::LogLevel::kWarning, "packets",
+                   "host stood still");
+  }
+}
+
+void PacketLoop::Turn() {
+  NoteTurn();
+  if (m_is_catching_up) {
+    TakePackets();
+  }
+}
+
 void PacketLoop::TakePackets() {
+  NoteTurn();
   const auto now = std::chrono::steady_clock::now();
   while (true) {
     const auto datagrams = m_port.Receive();
@@ -80,6 +102,7 @@
     }
     Flush();
     if (datagrams.size() < kPacketBatch) {
+      m_is_catching_up = false;
       ScheduleExpectations();
       return;
     }
@@ -130,7 +153,8 @@
   }
 }
 
-void PacketLoop::TakeCheckResult(uint64_t upstream_id, bool is_alive) {
+void PacketLoop::TakeCheckResult(uint64_t upstream_id, CheckResult result) {
+  const bool is_alive = result == CheckResult::kAnswer;
   const auto now = std::chrono::steady_clock::now();
   const flows::Upstream* upstream =
       m_steering->directory().FindUpstream(upstream_id);
@@ -146,6 +170,9 @@
     telemetry::Log(telemetry::LogLevel::kInfo, "packets",
                    is_alive ? "upstream answers" : "upstream does not answer",
                    {{"upstream", fmt::format("{:x}", upstream_id)},
+                    {"connection", result == CheckResult::kRefused
+                                       ? "refused"
+                                       : (is_alive ? "made" : "silent")},
                     {"flows_ended", std::to_string(ended.size())}});
   }
   for (const flows::FlowPacket& packet : ended) {
@@ -173,6 +200,10 @@
     ++m_counts.malformed;
     return;
   }
+  if (m_is_catching_up && packet->is_opening) {
+    ++m_counts.stale;
+    return;
+  }
   const flows::Decision decision = m_steering->Decide(*packet, now);
   ++m_counts.by_reason[static_cast<size_t>(decision.reason)];
   LogDecision(*packet, decision);
--- a/src/libs/entry/packet_loop.h
+++ b/src/libs/entry/packet_loop.h
@@ -33,6 +33,8 @@
 struct PacketCounts {
   std::array<uint64_t, flows::kReasonCount> by_reason{};
   uint64_t malformed = 0;
+  // Opening packets that waited while this host stood still.
+  uint64_t stale = 0;
   uint64_t unsent = 0;
   uint64_t checks = 0;
   uint64_t failed_checks = 0;
@@ -54,6 +56,9 @@
     m_on_finding = std::move(on_finding);
   }
 
+  // Call at least four times a second, besides packets.
+  void Turn();
+
   // Looks again after upstreams that are presumed dead.
   void CheckDoubted();
 
@@ -71,6 +76,7 @@
   };
 
   void WaitForPackets();
+  void NoteTurn();
   void TakePackets();
   void Handle(std::span<const uint8_t> datagram, flows::SteadyTime now);
   void Execute(const flows::FlowPacket& packet,
@@ -79,7 +85,7 @@
   void ScheduleExpectations();
   void CheckExpectations();
   void StartCheck(const flows::Upstream& upstream);
-  void TakeCheckResult(uint64_t upstream_id, bool is_alive);
+  void TakeCheckResult(uint64_t upstream_id, CheckResult result);
   void Reset(const flows::FlowPacket& packet);
   void Hold(std::span<const uint8_t> datagram, flows::SteadyTime now);
   void Flush();
@@ -91,6 +97,9 @@
   boost::asio::posix::stream_descriptor m_descriptor;
   UpstreamChecker m_checker;
   flows::Expectations m_expectations;
+  flows::StallDetector m_stall_detector;
+  // Packets that waited during a stall are being taken.
+  bool m_is_catching_up = false;
   boost::asio::steady_timer m_expectation_timer;
   bool m_is_expecting = false;
   std::deque<HeldPacket> m_held;
--- a/src/libs/entry/state_follower.h
+++ b/src/libs/entry/state_follower.h
@@ -13,9 +13,9 @@
 
 namespace poplarsail::entry {
 
-// One watch waits this long at the most. A connection that went silent, also one
-// whose keep-alive something in between still answers, is noticed when an answer
-// is overdue; that has to be within the stable window of 4 s.
+// One watch waits this long at the most. A connection that went silent, also
+// one whose keep-alive something in between still answers, is noticed when an
+// answer is overdue; that has to be within the stable window of 4 s.
 inline constexpr std::chrono::seconds kWatchWait{3};
 // Pause after a watch that brought changes, so that one call brings several.
 // Bounds on configurations and drains are 3 s and more.
--- a/src/libs/entry/upstream_checker.cc
+++ b/src/libs/entry/upstream_checker.cc
@@ -55,9 +55,9 @@
       {target.address, target.port},
       [this, attempt](const boost::system::error_code& error) {
         const bool is_refused = error == boost::asio::error::connection_refused;
-        Finish(attempt, !error       ? Result::kAnswer
-                        : is_refused ? Result::kRefused
-                                     : Result::kNoAnswer);
+        Finish(attempt, !error       ? CheckResult::kAnswer
+                        : is_refused ? CheckResult::kRefused
+                                     : CheckResult::kNoAnswer);
       });
   attempt->timer.expires_after(kConnectTimeout);
   attempt->timer.async_wait(
@@ -67,13 +67,13 @@
         }
         const auto late =
             std::chrono::steady_clock::now() - attempt->timer.expiry();
-        Finish(attempt,
-               late > kLateTimer ? Result::kInconclusive : Result::kNoAnswer);
+        Finish(attempt, late > kLateTimer ? CheckResult::kInconclusive
+                                          : CheckResult::kNoAnswer);
       });
 }
 
 void UpstreamChecker::Finish(const std::shared_ptr<Attempt>& attempt,
-                             Result result) {
+                             CheckResult result) {
   if (std::exchange(attempt->is_finished, true)) {
     return;
   }
@@ -81,14 +81,14 @@
   boost::system::error_code ignored;
   attempt->timer.cancel();
   attempt->socket.close(ignored);
-  if (result == Result::kInconclusive) {
+  if (result == CheckResult::kInconclusive) {
     return;
   }
-  if (result == Result::kNoAnswer && attempt->attempts_left > 0) {
+  if (result == CheckResult::kNoAnswer && attempt->attempts_left > 0) {
     Connect(attempt->upstream_id, attempt->endpoint, attempt->attempts_left);
     return;
   }
-  m_callback(attempt->upstream_id, result == Result::kAnswer);
+  m_callback(attempt->upstream_id, result);
 }
 
 }  // namespace poplarsail::entry
--- a/src/libs/entry/upstream_checker.h
+++ b/src/libs/entry/upstream_checker.h
@@ -20,23 +20,29 @@
 // Checks under way at the same time; each holds a descriptor.
 inline constexpr size_t kMaxChecks = 64;
 
+enum class CheckResult : uint8_t {
+  kAnswer,
+  kRefused,
+  kNoAnswer,
+  kInconclusive
+};
+
 // Finds out whether an upstream still takes connections. It sends no request,
 // so a check occupies none of the upstream's slots.
 class UpstreamChecker {
  public:
-  using Callback = std::function<void(uint64_t upstream_id, bool is_alive)>;
+  using Callback = std::function<void(uint64_t upstream_id, CheckResult)>;
 
   UpstreamChecker(boost::asio::io_context* context, Callback callback);
 
   void Check(uint64_t upstream_id, const model::Ipv4Endpoint& endpoint);
 
  private:
-  enum class Result : uint8_t { kAnswer, kRefused, kNoAnswer, kInconclusive };
   struct Attempt;
   void Connect(uint64_t upstream_id,
                const model::Ipv4Endpoint& endpoint,
                int attempts_left);
-  void Finish(const std::shared_ptr<Attempt>& attempt, Result result);
+  void Finish(const std::shared_ptr<Attempt>& attempt, CheckResult result);
 
   boost::asio::io_context* m_context;
   Callback m_callback;
--- a/src/libs/flows/flows.h
+++ b/src/libs/flows/flows.h
@@ -9,6 +9,7 @@
 #include "flows/liveness.h"
 #include "flows/local_first_placement.h"
 #include "flows/placement.h"
+#include "flows/stall_detector.h"
 #include "flows/steering.h"
 
 #endif  // FLOWS_FLOWS_H_
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <utility>
 
 namespace poplarsail::flows {
@@ -98,21 +99,19 @@
 }
 
 Upstream* Steering::PinnedUpstream(const FlowPacket& packet, Upstream* tagged) {
-  // Two upstreams may have answered copies of one opening packet. The flow is
-  // open at the one whose tag came back first; the other's is a late answer.
+  // Several upstreams may have answered copies of one opening packet, the last
+  // of them seconds later from a host that was frozen. The flow is open at the
+  // one whose tag came back first; a caller repeats the tag that came last.
   FlowRecord* flow = m_flows.Find(packet.key);
-  const bool is_doubled = flow != nullptr && flow->earlier_upstream_id != 0;
-  if (!is_doubled || tagged->record.id == flow->upstream_id ||
-      tagged->record.id != flow->earlier_upstream_id) {
+  if (flow == nullptr || !flow->is_open ||
+      tagged->record.id == flow->upstream_id) {
     return tagged;
   }
-  if (!flow->is_open) {
-    const uint64_t later = flow->upstream_id;
-    Attach(flow, tagged);
-    flow->earlier_upstream_id = later;
-    return tagged;
-  }
-  Upstream* pinned = m_directory.FindUpstream(flow->upstream_id);
+  const auto distance =
+      static_cast<int32_t>(packet.sequence - flow->sequence_end);
+  const bool is_same_flow = std::abs(distance) <= kSequenceWindow;
+  Upstream* pinned =
+      is_same_flow ? m_directory.FindUpstream(flow->upstream_id) : nullptr;
   return pinned == nullptr ? tagged : pinned;
 }
 
@@ -332,7 +331,8 @@
 std::vector<const Upstream*> Steering::DueChecks(SteadyTime now) {
   std::vector<const Upstream*> due;
   for (const auto& [id, upstream] : m_directory.upstreams()) {
-    const bool is_doubted = upstream->liveness.health(now) != Health::kGood;
+    const bool is_doubted =
+        upstream->is_lapsed || upstream->liveness.health(now) != Health::kGood;
     if (is_doubted && StartCheck(upstream.get(), now)) {
       due.push_back(upstream.get());
     }
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -72,6 +72,10 @@
   const Upstream* check = nullptr;
 };
 
+// A packet whose sequence is farther away than this from the last one of its
+// flow belongs to another flow with the same ports: 16 packets of 1,200 bytes
+// may be under way, four times over.
+inline constexpr int32_t kSequenceWindow = 76'800;
 // An upstream is checked at most this often.
 inline constexpr milliseconds kCheckInterval{1'000};
 // Weight of a new response time in the moving average.
--- a/tests/auto/flows/tst_steering.cc
+++ b/tests/auto/flows/tst_steering.cc
@@ -215,6 +215,55 @@
   CHECK(decision.tag == early);
 }
 
+TEST_CASE("An open flow keeps its upstream when a strange tag comes back") {
+  // Soak, seed 102: a host that was paused placed the first copy of an opening
+  // packet seconds later on another upstream, whose answer changed the tag.
+  FlowFixture fixture;
+  fixture.AddUpstream(1);
+  fixture.AddUpstream(2);
+  const Decision open = fixture.OpenFlow(1);
+  const uint64_t owner = open.upstream->record.id;
+  const uint32_t stray = MakeTag(kTallyListener, TagBase(3 - owner));
+  const Decision decision = fixture.steering.Decide(
+      FlowFixture::Data(1, stray, 251, 900), fixture.now);
+  CHECK(decision.upstream->record.id == owner);
+  CHECK(decision.tag == open.tag);
+  // A later flow with the same ports, opened through another host.
+  const Decision other = fixture.steering.Decide(
+      FlowFixture::Data(1, stray, 0x40000000, 7), fixture.now);
+  CHECK(other.upstream->record.id == 3 - owner);
+}
+
+TEST_CASE("A lapsed upstream is checked, and its flows end when that fails") {
+  FlowFixture fixture;
+  fixture.AddUpstream(1);
+  const Decision open = fixture.OpenFlow(1);
+  auto draining = FlowFixture::MakeUpstream(1, "tally", "regina");
+  draining.phase = belief::UpstreamPhase::kDraining;
+  fixture.PutUpstream(draining);
+  fixture.RemoveUpstream(1);
+  CHECK(fixture.steering.Decide(FlowFixture::Opening(2), fixture.now).action ==
+        Action::kReset);
+  CHECK(fixture.steering
+            .Decide(FlowFixture::Data(1, open.tag, 251, 900), fixture.now)
+            .action == Action::kForward);
+  fixture.now += 10ms;
+  REQUIRE(fixture.steering.DueChecks(fixture.now).size() == 1);
+  fixture.now += 10ms;
+  CHECK(fixture.steering.RecordCheck(1, false, fixture.now).size() == 1);
+  CHECK(fixture.steering
+            .Decide(FlowFixture::Data(1, open.tag, 251, 900), fixture.now)
+            .action == Action::kReset);
+}
+
+TEST_CASE("A host notices that it stood still, but not that it was idle") {
+  StallDetector detector;
+  CHECK_FALSE(detector.NoteTurn(5s));
+  CHECK_FALSE(detector.NoteTurn(5s + kStallTime));
+  CHECK(detector.NoteTurn(8s));
+  CHECK_FALSE(detector.NoteTurn(8s + 10ms));
+}
+
 TEST_CASE("Flows of an upstream that fails its check end at once") {
   // Load pattern: an upstream goes dark; its registration lapses seconds later
   // and requests on its open flows would wait for their callers' deadlines.
