--- a/tests/auto/entry/tst_entry_settings.cc
+++ b/tests/auto/entry/tst_entry_settings.cc
@@ -1,5 +1,9 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <sstream>
 #include <string>
 
 #include "entry/entry_settings.h"
@@ -71,5 +75,46 @@
   }
 }
 
+std::string ReadSourceFile(const std::string& path) {
+  std::ifstream file(std::string(POPLARSAIL_SOURCE_DIR) + "/" + path);
+  REQUIRE(file);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+TEST_CASE("The reference page lists every key with its default and meaning") {
+  const std::string page = ReadSourceFile("docs/settings.md");
+  const std::string part = page.substr(page.find("## `poplarsail serve`"));
+  for (const model::SettingKey& key : EntrySettingKeys()) {
+    const std::string name = "`" + key.section + "." + key.name + "`";
+    INFO(name);
+    const size_t row = part.find("| " + name + " |");
+    REQUIRE(row != std::string::npos);
+    const std::string line = part.substr(row, part.find('\n', row) - row);
+    CHECK_THAT(line, Catch::Contains(key.description));
+    CHECK_THAT(line, Catch::Contains(key.fallback.empty() ? "required"
+                                                          : key.fallback));
+  }
+}
+
+TEST_CASE("The template of the users' platform names known keys only") {
+  std::istringstream lines(ReadSourceFile("platform/settings.ini.in"));
+  std::string line;
+  std::string section;
+  while (std::getline(lines, line)) {
+    if (line.starts_with("[")) {
+      section = line.substr(1, line.find(']') - 1);
+      continue;
+    }
+    // A key may stand in a section of the template.
+    const size_t start = line.starts_with("{{#") ? line.find("}}") + 2 : 0;
+    const std::string name = line.substr(start, line.find(" =", start) - start);
+    CAPTURE(section, name);
+    CHECK(std::any_of(EntrySettingKeys().begin(), EntrySettingKeys().end(),
+                      [&](const model::SettingKey& key) {
+                        return key.section == section && key.name == name;
+                      }));
+  }
+}
+
 }  // namespace
 }  // namespace poplarsail::entry
