--- a/soak/scenario.cc
+++ b/soak/scenario.cc
@@ -12,6 +12,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "standins/platform_objects.h"
+
 namespace poplarsail::soak {
 
 namespace {
@@ -128,27 +130,15 @@
 }
 
 void Scenario::WriteConfiguration() {
-  json routes = json::array();
+  std::vector<standins::ListenerObject> listeners;
   for (const Listener& listener : m_listeners) {
-    if (listener.removed_since && !IsPlanted(Promise::kConfigured)) {
-      continue;
+    if (!listener.removed_since || IsPlanted(Promise::kConfigured)) {
+      listeners.push_back({listener.endpoint, listener.service});
     }
-    const model::Endpoint endpoint = model::ToEndpoint(listener.endpoint);
-    routes.push_back({{"name", fmt::format("r-{}", routes.size())},
-                      {"host", endpoint.address.to_string()},
-                      {"path_prefix", fmt::format("/{}/", endpoint.port)},
-                      {"service", listener.service}});
-  }
-  json services = json::array();
-  for (const char* name : {"tally", "archive"}) {
-    services.push_back(
-        {{"name", name}, {"health_path", "/health"}, {"cold_per_s", 0.0}});
   }
   m_store->Put("config", "main",
-               {{"version", m_configuration_version++},
-                {"routes", routes},
-                {"services", services},
-                {"limits", {{"idle_timeout_ms", 15'000}}}});
+               standins::ConfigurationSpec(m_configuration_version++, listeners,
+                                           {"tally", "archive"}));
 }
 
 Upstream* Scenario::AddUpstream(const std::string& service,
@@ -183,14 +173,8 @@
     options.service = service == "tally" ? "archive" : "tally";
   }
   m_store->Put("servers", m_upstreams.back()->name(),
-               {{"service", options.service},
-                {"address", model::ToString(options.endpoint)},
-                {"zone", domain},
-                {"version", "v1"},
-                {"slots", 2},
-                {"state", "ready"},
-                {"cold_left_ms", 0},
-                {"seq", 1}});
+               standins::RegistrationSpec(options.service, options.endpoint,
+                                          domain, "ready"));
   return m_upstreams.back().get();
 }
 
@@ -232,7 +216,7 @@
     boost::asio::ip::tcp::socket socket;
     boost::asio::steady_timer timer;
     std::array<char, 64> answer{};
-    std::string text = "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::string text = standins::kReadinessRequest;
     bool is_ready = false;
   };
   auto question = std::make_shared<Question>(&m_context);
--- a/src/libs/entry/belief_codec.cc
+++ b/src/libs/entry/belief_codec.cc
@@ -26,14 +26,14 @@
 
 json Encode(const belief::UpstreamRecord& record, belief::SteadyTime now) {
   // Steady time differs between hosts: what is left of the cold start is sent.
-  const auto cold_left = std::chrono::duration_cast<belief::milliseconds>(
+  const auto cold_remaining = std::chrono::duration_cast<belief::milliseconds>(
       std::max(record.cold_until - now, belief::SteadyTime::duration::zero()));
   return {{"id", record.id},
           {"service", record.service},
           {"endpoint", Encode(record.endpoint)},
           {"failure_domain", record.failure_domain},
           {"draining", record.phase == belief::UpstreamPhase::kDraining},
-          {"cold_left_ms", cold_left.count()},
+          {"cold_remaining_ms", cold_remaining.count()},
           {"started_unix_ms", record.started_unix_ms}};
 }
 
@@ -47,9 +47,9 @@
   record->phase = value.at("draining").get<bool>()
                       ? belief::UpstreamPhase::kDraining
                       : belief::UpstreamPhase::kServing;
-  const auto cold_left = value.at("cold_left_ms").get<int64_t>();
-  if (cold_left > 0) {
-    record->cold_until = now + belief::milliseconds(cold_left);
+  const auto cold_remaining = value.at("cold_remaining_ms").get<int64_t>();
+  if (cold_remaining > 0) {
+    record->cold_until = now + belief::milliseconds(cold_remaining);
   }
   record->started_unix_ms = value.at("started_unix_ms").get<int64_t>();
 }
--- a/tests/auto/platform/tst_store_state.cc
+++ b/tests/auto/platform/tst_store_state.cc
@@ -8,6 +8,7 @@
 
 #include "objects/objects.h"
 #include "platform/store_state.h"
+#include "standins/platform_objects.h"
 #include "standins/platform_store.h"
 
 namespace poplarsail::platform {
@@ -20,10 +21,7 @@
 using namespace std::chrono_literals;
 
 json UpstreamSpec(const std::string& state) {
-  return {{"service", "tally"}, {"address", "10.0.0.1:80"},
-          {"zone", "regina"},   {"version", "v1"},
-          {"slots", 2},         {"state", state},
-          {"cold_left_ms", 0},  {"seq", 1}};
+  return standins::RegistrationSpec("tally", {0x0a000001, 80}, "regina", state);
 }
 
 class StoreFixture {
--- /dev/null
+++ b/tests/standins/platform_objects.h
@@ -0,0 +1,37 @@
+#ifndef STANDINS_PLATFORM_OBJECTS_H_
+#define STANDINS_PLATFORM_OBJECTS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "model/model.h"
+
+namespace poplarsail::standins {
+
+// How the fabric asks for readiness.
+inline constexpr const char* kReadinessRequest =
+    "GET /-/ready HTTP/1.1\r\nHost: fabric\r\n\r\n";
+
+struct ListenerObject {
+  model::Ipv4Endpoint endpoint;
+  std::string service;
+};
+
+// The operators' configuration as it lies in the store.
+nlohmann::json ConfigurationSpec(int64_t version,
+                                 const std::vector<ListenerObject>& listeners,
+                                 const std::vector<std::string>& services);
+
+// An upstream's registration as it lies in the store; `state` is "ready" or
+// "draining".
+nlohmann::json RegistrationSpec(const std::string& service,
+                                const model::Ipv4Endpoint& endpoint,
+                                const std::string& failure_domain,
+                                const std::string& state);
+
+}  // namespace poplarsail::standins
+
+#endif  // STANDINS_PLATFORM_OBJECTS_H_
