--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -124,7 +124,8 @@
   m_parts->metrics.Handle("/metrics", [this](const HttpQuery&) {
     return HttpAnswer{
         200, FormatMetrics({&m_parts->packets.counts(), &m_parts->steering,
-                            &m_parts->belief})};
+                            &m_parts->belief, &m_platform.store->counts(),
+                            &m_parts->peers->counts()})};
   });
   m_parts->metrics.Start();
   PeerExchange::Options options;
--- a/src/libs/entry/metrics.cc
+++ b/src/libs/entry/metrics.cc
@@ -1,5 +1,6 @@
 #include "entry/metrics.h"
 
+#include <utility>
 #include <vector>
 
 #include <prometheus/metric_family.h>
@@ -33,21 +34,32 @@
   return {name, help, MetricType::Gauge, {metric}};
 }
 
-MetricFamily Decisions(const PacketCounts& counts) {
-  MetricFamily family{"poplarsail_packets_total",
-                      "Packets by the reason of the decision on them.",
-                      MetricType::Counter,
-                      {}};
-  for (size_t i = 0; i < counts.by_reason.size(); ++i) {
-    ClientMetric metric =
-        CounterMetric(static_cast<double>(counts.by_reason[i]));
-    metric.label.push_back({"reason", std::string(flows::ToString(
-                                          static_cast<flows::Reason>(i)))});
+// Counts by one label.
+MetricFamily Labelled(
+    const std::string& name,
+    const std::string& help,
+    const std::string& label,
+    const std::vector<std::pair<std::string, uint64_t>>& counts) {
+  MetricFamily family{name, help, MetricType::Counter, {}};
+  for (const auto& [value, count] : counts) {
+    ClientMetric metric = CounterMetric(static_cast<double>(count));
+    metric.label.push_back({label, value});
     family.metric.push_back(metric);
   }
   return family;
 }
 
+MetricFamily Decisions(const PacketCounts& counts) {
+  std::vector<std::pair<std::string, uint64_t>> by_reason;
+  for (size_t i = 0; i < counts.by_reason.size(); ++i) {
+    by_reason.emplace_back(flows::ToString(static_cast<flows::Reason>(i)),
+                           counts.by_reason[i]);
+  }
+  return Labelled("poplarsail_packets_total",
+                  "Packets by the reason of the decision on them.", "reason",
+                  by_reason);
+}
+
 }  // namespace
 
 std::string FormatMetrics(const MetricSources& sources) {
@@ -73,6 +85,24 @@
       Counter("poplarsail_unsent_packets_total",
               "Datagrams that the system did not take.",
               static_cast<double>(sources.packets->unsent)),
+      Labelled("poplarsail_store_calls_total", "Calls to the store by outcome.",
+               "outcome",
+               {{"answered", sources.store->answered},
+                {"refused", sources.store->refused},
+                {"failed", sources.store->failed}}),
+      Counter("poplarsail_malformed_objects_total",
+              "Objects of the store that could not be used.",
+              static_cast<double>(sources.store->malformed_objects)),
+      Labelled("poplarsail_peer_questions_total",
+               "Questions to other entry hosts by outcome.", "outcome",
+               {{"newer", sources.peers->answered_newer},
+                {"failed", sources.peers->failed}}),
+      sources.steering->opening_times().Collect(
+          "poplarsail_opening_seconds",
+          "From an opening packet to the first packet on the open flow."),
+      sources.steering->response_times().Collect(
+          "poplarsail_response_seconds",
+          "From a request's first packet to the first sign of its answer."),
       Gauge("poplarsail_observed_flows", "Flows with a record.",
             static_cast<double>(sources.steering->flow_table().size())),
       Gauge("poplarsail_configuration_version",
--- a/src/libs/entry/metrics.h
+++ b/src/libs/entry/metrics.h
@@ -5,6 +5,8 @@
 
 #include "belief/belief.h"
 #include "entry/packet_loop.h"
+#include "entry/peer_exchange.h"
+#include "entry/state_store.h"
 #include "flows/flows.h"
 
 namespace poplarsail::entry {
@@ -14,6 +16,8 @@
   const PacketCounts* packets = nullptr;
   const flows::Steering* steering = nullptr;
   const belief::Belief* belief = nullptr;
+  const StoreCallCounts* store = nullptr;
+  const PeerCounts* peers = nullptr;
 };
 
 // Returns all metrics in the text format of Prometheus.
--- a/src/libs/entry/state_store.h
+++ b/src/libs/entry/state_store.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
 #include <cstdint>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -24,6 +25,18 @@
   uint64_t at = 0;
 };
 
+// Calls to the store by outcome.
+struct StoreCallCounts {
+  uint64_t answered = 0;
+  uint64_t refused = 0;
+  // Without an answer: nothing, or nothing known, was done.
+  uint64_t failed = 0;
+  uint64_t malformed_objects = 0;
+
+  friend bool operator==(const StoreCallCounts&,
+                         const StoreCallCounts&) = default;
+};
+
 // Where beliefs are read from and what must last is written to. Calls throw
 // the errors of objects/object_store.h.
 class StateStore {
@@ -39,6 +52,8 @@
   virtual boost::asio::awaitable<void> Announce(
       const belief::PeerRecord& peer) = 0;
   virtual boost::asio::awaitable<void> Withdraw(const std::string& name) = 0;
+
+  virtual const StoreCallCounts& counts() const = 0;
 };
 
 }  // namespace poplarsail::entry
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -231,6 +231,10 @@
 void Steering::CountAnswered(const FlowRecord& flow,
                              Upstream* upstream,
                              SteadyTime now) {
+  if (flow.is_waiting) {
+    (flow.is_open ? m_response_times : m_opening_times)
+        .Add(now - flow.waiting_since);
+  }
   if (flow.is_waiting && flow.is_open) {
     const std::chrono::duration<double, std::milli> response =
         now - flow.waiting_since;
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -14,6 +14,7 @@
 #include "flows/flow_packet.h"
 #include "flows/flow_table.h"
 #include "flows/placement.h"
+#include "telemetry/telemetry.h"
 
 namespace poplarsail::flows {
 
@@ -111,6 +112,14 @@
 
   Directory& directory() { return m_directory; }
   const FlowTable& flow_table() const { return m_flows; }
+  // From an opening packet to the first packet on the open flow.
+  const telemetry::LatencyHistogram& opening_times() const {
+    return m_opening_times;
+  }
+  // From a request's first packet to the first sign of its answer.
+  const telemetry::LatencyHistogram& response_times() const {
+    return m_response_times;
+  }
 
  private:
   Decision DecideOpening(const FlowPacket& packet,
@@ -135,6 +144,8 @@
   std::unique_ptr<Placement> m_placement;
   Directory m_directory;
   FlowTable m_flows;
+  telemetry::LatencyHistogram m_opening_times;
+  telemetry::LatencyHistogram m_response_times;
   bool m_is_complete = false;
   std::chrono::milliseconds m_flow_idle{kDefaultFlowIdle};
 };
--- a/src/libs/telemetry/telemetry.h
+++ b/src/libs/telemetry/telemetry.h
@@ -3,6 +3,7 @@
 #define TELEMETRY_TELEMETRY_H_
 
 #include "telemetry/counters.h"
+#include "telemetry/latency_histogram.h"
 #include "telemetry/log.h"
 #include "telemetry/log_sink.h"
 
--- /dev/null
+++ b/tests/auto/entry/tst_metrics.cc
@@ -0,0 +1,50 @@
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+
+#include "entry/entry.h"
+
+namespace poplarsail::entry {
+namespace {
+
+using namespace std::chrono_literals;
+using Catch::Contains;
+
+TEST_CASE("A histogram counts into cumulative buckets") {
+  telemetry::LatencyHistogram histogram;
+  histogram.Add(1ms);
+  histogram.Add(20ms);
+  histogram.Add(90ms);
+  histogram.Add(10s);
+  const auto family = histogram.Collect("times", "help");
+  const auto& buckets = family.metric.at(0).histogram.bucket;
+  REQUIRE(buckets.size() == telemetry::kLatencyBounds.size() + 1);
+  CHECK(buckets.front().cumulative_count == 1);
+  CHECK(buckets[3].cumulative_count == 2);
+  CHECK(buckets[5].cumulative_count == 3);
+  CHECK(buckets.back().cumulative_count == 4);
+  CHECK(histogram.count() == 4);
+}
+
+TEST_CASE("The metrics name decisions, calls and latencies") {
+  PacketCounts packets;
+  packets.by_reason[static_cast<size_t>(flows::Reason::kNoUpstream)] = 7;
+  const flows::Steering steering(
+      std::make_unique<flows::LocalFirstPlacement>("regina", 1));
+  const belief::Belief belief;
+  StoreCallCounts store;
+  store.refused = 3;
+  const PeerCounts peers;
+  const std::string text =
+      FormatMetrics({&packets, &steering, &belief, &store, &peers});
+  CHECK_THAT(text,
+             Contains("poplarsail_packets_total{reason=\"no-upstream\"} 7"));
+  CHECK_THAT(text,
+             Contains("poplarsail_store_calls_total{outcome=\"refused\"} 3"));
+  CHECK_THAT(text, Contains("poplarsail_response_seconds_bucket"));
+  CHECK_THAT(text, Contains("poplarsail_opening_seconds_count 0"));
+}
+
+}  // namespace
+}  // namespace poplarsail::entry
--- a/tests/auto/entry/tst_state_follower.cc
+++ b/tests/auto/entry/tst_state_follower.cc
@@ -43,6 +43,8 @@
     co_return;
   }
 
+  const StoreCallCounts& counts() const override { return m_counts; }
+
   bool HasEnded() const { return m_has_ended; }
 
   int lists = 0;
@@ -63,6 +65,7 @@
   std::deque<Step> m_steps;
   boost::asio::steady_timer m_timer;
   bool m_has_ended = false;
+  StoreCallCounts m_counts;
 };
 
 BeliefEntry Upstream(uint64_t id, uint64_t revision) {
