--- a/src/libs/entry/belief_codec.cc
+++ b/src/libs/entry/belief_codec.cc
@@ -110,16 +110,37 @@
   take_out->failure_domain = value.get<std::string>();
 }
 
-// Objects that exist as [name, revision, value].
+// The revision after which changes are sent; 0 where all is sent, since the
+// asker knows nothing or removals since then may be forgotten.
+uint64_t ChangesSince(const Belief& belief,
+                      Kind kind,
+                      const ListedRevisions& known) {
+  const uint64_t since = known[static_cast<size_t>(kind)];
+  const bool is_remembered =
+      since + belief::kTombstoneRevisions > belief.listed_revision(kind);
+  return is_remembered ? since : 0;
+}
+
+// Objects as [name, revision, value]; removed ones have no value.
 template <typename Record>
-json EncodeKind(const Belief& belief, Kind kind, belief::SteadyTime now) {
+json EncodeKind(const Belief& belief,
+                Kind kind,
+                const ListedRevisions& known,
+                belief::SteadyTime now) {
+  const uint64_t since = ChangesSince(belief, kind, known);
   json objects = json::array();
   for (const auto& [name, entry] : belief.set_of<Record>().entries()) {
-    if (entry.value) {
-      objects.push_back({name, entry.revision, Encode(*entry.value, now)});
+    const bool is_sent =
+        since == 0 ? entry.value.has_value() : entry.revision > since;
+    if (is_sent) {
+      objects.push_back(
+          {name, entry.revision,
+           entry.value ? Encode(*entry.value, now) : json(nullptr)});
     }
   }
-  return {{"at", belief.listed_revision(kind)}, {"objects", objects}};
+  return {{"at", belief.listed_revision(kind)},
+          {"since", since},
+          {"objects", objects}};
 }
 
 template <typename Record>
@@ -129,14 +150,31 @@
                belief::SteadyTime now) {
   std::vector<belief::Versioned<Record>> entries;
   for (const json& object : part.at("objects")) {
-    Record record;
-    Decode(object.at(2), now, &record);
-    entries.push_back({object.at(0).get<std::string>(),
-                       object.at(1).get<uint64_t>(), std::move(record)});
+    belief::Versioned<Record> entry;
+    entry.name = object.at(0).get<std::string>();
+    entry.revision = object.at(1).get<uint64_t>();
+    if (!object.at(2).is_null()) {
+      Record record;
+      Decode(object.at(2), now, &record);
+      entry.value = std::move(record);
+    }
+    entries.push_back(std::move(entry));
   }
   const auto at = part.at("at").get<uint64_t>();
-  if (at > 0) {
+  const auto since = part.at("since").get<uint64_t>();
+  if (at == 0) {
+    return;
+  }
+  if (since == 0) {
     belief->ApplyList<Record>(kind, entries, at, now);
+    return;
+  }
+  for (const belief::Versioned<Record>& entry : entries) {
+    belief->Apply(entry, now);
+  }
+  // Changes continue what was known up to `since`.
+  if (belief->listed_revision(kind) >= since) {
+    belief->MarkListed(kind, at);
   }
 }
 
@@ -161,6 +199,7 @@
 }
 
 std::string EncodeBelief(const Belief* belief,
+                         const ListedRevisions& known,
                          const FleetView& fleet,
                          belief::SteadyTime now) {
   json neighbours = json::array();
@@ -171,12 +210,12 @@
                   {"host_count", fleet.host_count},
                   {"neighbours", neighbours}};
   if (belief != nullptr) {
-    message["configuration"] =
-        EncodeKind<belief::Configuration>(*belief, Kind::kConfiguration, now);
-    message["upstreams"] =
-        EncodeKind<belief::UpstreamRecord>(*belief, Kind::kUpstreams, now);
+    message["configuration"] = EncodeKind<belief::Configuration>(
+        *belief, Kind::kConfiguration, known, now);
+    message["upstreams"] = EncodeKind<belief::UpstreamRecord>(
+        *belief, Kind::kUpstreams, known, now);
     message["take_outs"] =
-        EncodeKind<belief::TakeOut>(*belief, Kind::kTakeOuts, now);
+        EncodeKind<belief::TakeOut>(*belief, Kind::kTakeOuts, known, now);
   }
   std::string bytes;
   json::to_msgpack(message, bytes);
--- a/src/libs/entry/belief_codec.h
+++ b/src/libs/entry/belief_codec.h
@@ -41,9 +41,11 @@
   friend bool operator==(const FleetView&, const FleetView&) = default;
 };
 
-// Returns a message, as msgpack. `belief` is nullptr where the asker knows it
-// all.
+// Returns a message, as msgpack: of each kind what changed after the revision
+// in `known`, or all of it where that is 0. `belief` is nullptr where the asker
+// knows it all.
 std::string EncodeBelief(const belief::Belief* belief,
+                         const ListedRevisions& known,
                          const FleetView& fleet,
                          belief::SteadyTime now);
 
--- a/src/libs/entry/peer_exchange.cc
+++ b/src/libs/entry/peer_exchange.cc
@@ -133,7 +133,8 @@
   const FleetView fleet = ViewFor(domain == query.end() ? "" : domain->second);
   const belief::Belief* news =
       IsNewer(*m_belief, revisions) ? m_belief : nullptr;
-  return {200, EncodeBelief(news, fleet, std::chrono::steady_clock::now())};
+  return {200, EncodeBelief(news, revisions, fleet,
+                            std::chrono::steady_clock::now())};
 }
 
 void PeerExchange::RememberAsker(const HttpQuery& query) {
--- a/tests/auto/entry/tst_belief_codec.cc
+++ b/tests/auto/entry/tst_belief_codec.cc
@@ -47,7 +47,7 @@
   Belief receiver;
   // Steady clocks of hosts have nothing to do with each other.
   const belief::SteadyTime later{50'000s};
-  MergeBelief(EncodeBelief(&sender, {}, kNow), &receiver, later);
+  MergeBelief(EncodeBelief(&sender, {}, {}, kNow), &receiver, later);
   CHECK(receiver.IsComplete());
   CHECK(receiver.configuration() == sender.configuration());
   CHECK(receiver.IsTakenOut("brandon"));
@@ -60,7 +60,7 @@
 
 TEST_CASE("An older belief takes nothing back") {
   Belief receiver = MakeBelief();
-  const std::string old_message = EncodeBelief(&receiver, {}, kNow);
+  const std::string old_message = EncodeBelief(&receiver, {}, {}, kNow);
   belief::UpstreamRecord draining = receiver.upstreams().at("i-1").record;
   draining.phase = belief::UpstreamPhase::kDraining;
   receiver.Apply(Belief::UpstreamEntry{"i-1", 12, draining}, kNow);
@@ -78,7 +78,7 @@
 TEST_CASE("What a peer never listed removes nothing") {
   Belief receiver = MakeBelief();
   const Belief empty;
-  MergeBelief(EncodeBelief(&empty, {}, kNow), &receiver, kNow);
+  MergeBelief(EncodeBelief(&empty, {}, {}, kNow), &receiver, kNow);
   CHECK(receiver.upstreams().size() == 1);
   CHECK_FALSE(receiver.upstreams().at("i-1").is_lapsed);
   CHECK(receiver.IsTakenOut("brandon"));
@@ -86,7 +86,7 @@
 
 TEST_CASE("A message that can't be used changes nothing") {
   const Belief sender = MakeBelief();
-  const std::string whole = EncodeBelief(&sender, {}, kNow);
+  const std::string whole = EncodeBelief(&sender, {}, {}, kNow);
   nlohmann::json parsed = nlohmann::json::from_msgpack(whole);
   std::string message;
   SECTION("empty") {}
@@ -116,7 +116,7 @@
 TEST_CASE("Unknown fields are skipped") {
   const Belief sender = MakeBelief();
   nlohmann::json parsed =
-      nlohmann::json::from_msgpack(EncodeBelief(&sender, {}, kNow));
+      nlohmann::json::from_msgpack(EncodeBelief(&sender, {}, {}, kNow));
   parsed["later_addition"] = {1, 2, 3};
   parsed["upstreams"]["objects"][0][2]["weight"] = 4;
   std::string message;
@@ -126,10 +126,32 @@
   CHECK(receiver.IsComplete());
 }
 
+TEST_CASE("A host that knows a revision gets what changed since") {
+  Belief sender = MakeBelief();
+  Belief receiver = MakeBelief();
+  belief::UpstreamRecord added = sender.upstreams().at("i-1").record;
+  added.id = 2;
+  added.endpoint.port = 9;
+  sender.Apply(Belief::UpstreamEntry{"i-2", 12, added}, kNow);
+  sender.Apply(Belief::UpstreamEntry{"i-1", 13, std::nullopt}, kNow);
+  sender.Apply(Belief::TakeOutEntry{"brandon", 14, std::nullopt}, kNow);
+  sender.MarkListed(Kind::kUpstreams, 14);
+  sender.MarkListed(Kind::kTakeOuts, 14);
+  const std::string whole = EncodeBelief(&sender, {}, {}, kNow);
+  const std::string changes =
+      EncodeBelief(&sender, ListedRevisionsOf(receiver), {}, kNow);
+  CHECK(changes.size() < whole.size());
+  MergeBelief(changes, &receiver, kNow);
+  CHECK(receiver.upstreams().contains("i-2"));
+  CHECK(receiver.upstreams().at("i-1").is_lapsed);
+  CHECK_FALSE(receiver.IsTakenOut("brandon"));
+  CHECK(ListedRevisionsOf(receiver) == ListedRevisionsOf(sender));
+}
+
 TEST_CASE("A message tells of the fleet, with or without a belief") {
   const FleetView fleet{9, {{0x0a000001, 7720}, {0x0a000002, 7720}}};
   Belief receiver;
-  CHECK(MergeBelief(EncodeBelief(nullptr, fleet, kNow), &receiver, kNow) ==
+  CHECK(MergeBelief(EncodeBelief(nullptr, {}, fleet, kNow), &receiver, kNow) ==
         fleet);
   CHECK(receiver.generation() == 0);
 }
