Drop the registry of entry hosts that nothing uses

Hosts find each other by the seeds; announcing them in the store was written first and is not called. Its code goes with the three tests that covered only it.

--- a/src/libs/belief/belief.cc
+++ b/src/libs/belief/belief.cc
@@ -44,12 +44,6 @@
   ++m_generation;
 }
 
-void Belief::Apply(const PeerEntry& entry, SteadyTime) {
-  if (m_peer_set.Put(entry)) {
-    ++m_generation;
-  }
-}
-
 void Belief::MarkListed(Kind kind, uint64_t revision) {
   uint64_t& listed = m_listed_revisions[static_cast<size_t>(kind)];
   listed = std::max(listed, revision);
--- a/src/libs/belief/belief.h
+++ b/src/libs/belief/belief.h
@@ -1,5 +1,5 @@
-// What a daemon knows of configuration, upstreams, take-outs and other entry
-// hosts, merged by revision from whatever source tells it.
+// What a daemon knows of configuration, upstreams and take-outs, merged by
+// revision from whatever source tells it.
 #ifndef BELIEF_BELIEF_H_
 #define BELIEF_BELIEF_H_
 
@@ -32,22 +32,20 @@
   friend bool operator==(const KnownUpstream&, const KnownUpstream&) = default;
 };
 
-enum class Kind : uint8_t { kConfiguration, kUpstreams, kTakeOuts, kPeers };
-inline constexpr size_t kKindCount = 4;
+enum class Kind : uint8_t { kConfiguration, kUpstreams, kTakeOuts };
+inline constexpr size_t kKindCount = 3;
 
 class Belief {
  public:
   using ConfigurationEntry = Versioned<Configuration>;
   using UpstreamEntry = Versioned<UpstreamRecord>;
   using TakeOutEntry = Versioned<TakeOut>;
-  using PeerEntry = Versioned<PeerRecord>;
 
   // Single changes, from any source and in any order; the older of two
   // revisions of an object is ignored.
   void Apply(const ConfigurationEntry& entry, SteadyTime now);
   void Apply(const UpstreamEntry& entry, SteadyTime now);
   void Apply(const TakeOutEntry& entry, SteadyTime now);
-  void Apply(const PeerEntry& entry, SteadyTime now);
 
   // A whole list as of revision `at`: what it misses was removed.
   template <typename Record>
@@ -111,7 +109,6 @@
   VersionedSet<Configuration> m_configuration_set;
   VersionedSet<UpstreamRecord> m_upstream_set;
   VersionedSet<TakeOut> m_take_out_set;
-  VersionedSet<PeerRecord> m_peer_set;
   std::map<std::string, KnownUpstream> m_upstreams;
   std::map<std::string, SteadyTime> m_lapse_deadlines;
   std::set<std::string> m_taken_out;
@@ -131,10 +128,6 @@
 inline const VersionedSet<TakeOut>& Belief::set_of() const {
   return m_take_out_set;
 }
-template <>
-inline const VersionedSet<PeerRecord>& Belief::set_of() const {
-  return m_peer_set;
-}
 
 }  // namespace poplarsail::belief
 
--- a/src/libs/belief/records.h
+++ b/src/libs/belief/records.h
@@ -82,16 +82,6 @@
   friend bool operator==(const TakeOut&, const TakeOut&) = default;
 };
 
-// An entry host as it announces itself to the others.
-struct PeerRecord {
-  std::string name;
-  std::string failure_domain;
-  // Where it takes messages of other entry hosts.
-  model::Ipv4Endpoint endpoint;
-
-  friend bool operator==(const PeerRecord&, const PeerRecord&) = default;
-};
-
 }  // namespace poplarsail::belief
 
 #endif  // BELIEF_RECORDS_H_
--- a/src/libs/entry/state_follower.cc
+++ b/src/libs/entry/state_follower.cc
@@ -16,7 +16,7 @@
 
 std::string KindLabel(belief::Kind kind) {
   static constexpr std::array<const char*, belief::kKindCount> kLabels = {
-      "configuration", "upstreams", "take-outs", "peers"};
+      "configuration", "upstreams", "take-outs"};
   return kLabels[static_cast<size_t>(kind)];
 }
 
@@ -145,8 +145,6 @@
       return apply(static_cast<const belief::UpstreamRecord*>(nullptr));
     case belief::Kind::kTakeOuts:
       return apply(static_cast<const belief::TakeOut*>(nullptr));
-    case belief::Kind::kPeers:
-      return apply(static_cast<const belief::PeerRecord*>(nullptr));
   }
 }
 
--- a/src/libs/entry/state_store.h
+++ b/src/libs/entry/state_store.h
@@ -16,8 +16,7 @@
 
 using BeliefEntry = std::variant<belief::Belief::ConfigurationEntry,
                                  belief::Belief::UpstreamEntry,
-                                 belief::Belief::TakeOutEntry,
-                                 belief::Belief::PeerEntry>;
+                                 belief::Belief::TakeOutEntry>;
 
 // Objects of one kind as of revision `at`.
 struct StateBatch {
@@ -37,7 +36,7 @@
                          const StoreCallCounts&) = default;
 };
 
-// Where beliefs are read from and what must last is written to. Calls throw
+// Where beliefs are read from. Calls throw
 // the errors of objects/object_store.h.
 class StateStore {
  public:
@@ -49,10 +48,6 @@
   virtual boost::asio::awaitable<StateBatch>
   Watch(belief::Kind kind, uint64_t from, belief::SteadyTime deadline) = 0;
 
-  virtual boost::asio::awaitable<void> Announce(
-      const belief::PeerRecord& peer) = 0;
-  virtual boost::asio::awaitable<void> Withdraw(const std::string& name) = 0;
-
   virtual const StoreCallCounts& counts() const = 0;
 };
 
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -145,28 +145,26 @@
     return nullptr;
   }
   // All copies of an opening packet fall to the same share.
-  uint64_t point = FlowKeyHash()(packet.key) % listener.weight_sum;
+  const uint64_t point = FlowKeyHash()(packet.key) % listener.weight_sum;
+  uint64_t share_end = 0;
   const Service* fallback = nullptr;
-  const Service* chosen = nullptr;
   for (const belief::ServiceShare& share : listener.record.shares) {
+    const uint64_t share_start = share_end;
+    share_end += share.weight;
     const Service* service = m_directory.FindService(share.service);
     const bool is_usable =
         service != nullptr && share.weight > 0 &&
         std::any_of(service->upstreams.begin(), service->upstreams.end(),
                     [](const Upstream* u) { return u->TakesNewFlows(); });
-    if (is_usable) {
-      fallback = service;
+    if (!is_usable) {
+      continue;
     }
-    const bool is_share = point < share.weight;
-    point -= std::min<uint64_t>(point, share.weight);
-    if (chosen == nullptr && is_share && is_usable) {
-      chosen = service;
-    }
-    if (is_share) {
-      point = UINT64_MAX;
+    if (point >= share_start && point < share_end) {
+      return service;
     }
+    fallback = service;
   }
-  return chosen != nullptr ? chosen : fallback;
+  return fallback;
 }
 
 bool Steering::Observe(const FlowPacket& packet,
--- a/tests/auto/entry/tst_belief_codec.cc
+++ b/tests/auto/entry/tst_belief_codec.cc
@@ -157,12 +157,12 @@
 }
 
 TEST_CASE("Listed revisions travel as text") {
-  const ListedRevisions revisions = {1, 22, 0, 4'000'000'000'000};
+  const ListedRevisions revisions = {1, 0, 4'000'000'000'000};
   CHECK(ParseListedRevisions(ToText(revisions)) == revisions);
-  CHECK(ParseListedRevisions("7,x,9") == ListedRevisions{7, 0, 9, 0});
+  CHECK(ParseListedRevisions("7,x,9") == ListedRevisions{7, 0, 9});
   CHECK(ParseListedRevisions("") == ListedRevisions{});
-  CHECK(IsNewer(MakeBelief(), ListedRevisions{9, 8, 9, 0}));
-  CHECK_FALSE(IsNewer(MakeBelief(), ListedRevisions{9, 9, 9, 0}));
+  CHECK(IsNewer(MakeBelief(), ListedRevisions{9, 8, 9}));
+  CHECK_FALSE(IsNewer(MakeBelief(), ListedRevisions{9, 9, 9}));
 }
 
 }  // namespace
--- a/tests/auto/entry/tst_state_follower.cc
+++ b/tests/auto/entry/tst_state_follower.cc
@@ -36,13 +36,6 @@
     ++watches;
     co_return co_await Next(from);
   }
-  boost::asio::awaitable<void> Announce(const belief::PeerRecord&) override {
-    co_return;
-  }
-  boost::asio::awaitable<void> Withdraw(const std::string&) override {
-    co_return;
-  }
-
   const StoreCallCounts& counts() const override { return m_counts; }
 
   bool HasEnded() const { return m_has_ended; }
--- a/tests/auto/platform/tst_state_records.cc
+++ b/tests/auto/platform/tst_state_records.cc
@@ -167,12 +167,5 @@
   CHECK(entry.value->failure_domain == "regina");
 }
 
-TEST_CASE("Entry hosts are written as they are read") {
-  const belief::PeerRecord peer{"front-1", "regina", {0x0a010203, 8166}};
-  const auto entry = std::get<belief::Belief::PeerEntry>(
-      DecodeObject(Kind::kPeers, Object("front-1", EncodePeer(peer)), kNow));
-  CHECK(entry.value == peer);
-}
-
 }  // namespace
 }  // namespace poplarsail::platform
--- a/tests/auto/platform/tst_store_state.cc
+++ b/tests/auto/platform/tst_store_state.cc
@@ -45,20 +45,6 @@
     return *result;
   }
 
-  void Await(boost::asio::awaitable<void> call) {
-    std::exception_ptr failure;
-    bool is_done = false;
-    boost::asio::co_spawn(context, std::move(call),
-                          [&](const std::exception_ptr& error) {
-                            failure = error;
-                            is_done = true;
-                          });
-    RunUntil([&]() { return is_done; });
-    if (failure) {
-      std::rethrow_exception(failure);
-    }
-  }
-
   void RunUntil(const std::function<bool()>& condition) {
     context.restart();
     while (!condition()) {
@@ -174,28 +160,5 @@
   }
 }
 
-TEST_CASE("An entry host announces itself, also after a restart") {
-  StoreFixture fixture;
-  const belief::PeerRecord peer{"front-1", "regina", {0x7f000001, 9}};
-  fixture.Await(fixture.state.Announce(peer));
-  const belief::PeerRecord moved{"front-1", "regina", {0x7f000002, 9}};
-  fixture.Await(fixture.state.Announce(moved));
-  const entry::StateBatch batch =
-      fixture.Await(fixture.state.List(Kind::kPeers));
-  REQUIRE(batch.entries.size() == 1);
-  CHECK(std::get<belief::Belief::PeerEntry>(batch.entries[0]).value == moved);
-  fixture.Await(fixture.state.Withdraw("front-1"));
-  CHECK(fixture.Await(fixture.state.List(Kind::kPeers)).entries.empty());
-}
-
-TEST_CASE("A write whose answer is lost is known to be in doubt") {
-  StoreFixture fixture;
-  fixture.store.set_mode(StoreMode::kLoseAnswers);
-  CHECK_THROWS_AS(fixture.Await(fixture.state.Announce(
-                      {"front-1", "regina", {0x7f000001, 9}})),
-                  objects::UnknownOutcomeError);
-  CHECK(fixture.store.Contains("poplarsail-hosts", "front-1"));
-}
-
 }  // namespace
 }  // namespace poplarsail::platform
