Play load shapes in an emulator and end idle flows of dead upstreams

Cause: with three of 14 upstreams dark, the new emulator (virtual time, the daemon's own steering) sent new flows there for up to 1,331 ms. The end of an idle flow, which carries no data, was taken for an acknowledgement; it refuted the failed check, and the next check was a second away. Besides, idle flows of a dead upstream stayed open, so the next request on each was lost.

--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -173,8 +173,7 @@
                                    ? flows::Health::kGood
                                    : upstream->liveness.health(now);
   const bool was_doubted = health != flows::Health::kGood;
-  const bool was_presumed_dead = health == flows::Health::kPresumedDead;
-  const std::vector<flows::FlowPacket> ended =
+  const flows::CheckDecision decision =
       m_steering->RecordCheck(upstream_id, is_alive, now);
   m_counts.failed_checks += is_alive ? 0 : 1;
   if (was_doubted || !is_alive) {
@@ -184,14 +183,13 @@
                     {"connection", result == CheckResult::kRefused
                                        ? "refused"
                                        : (is_alive ? "made" : "silent")},
-                    {"flows_ended", std::to_string(ended.size())}});
+                    {"flows_ended", std::to_string(decision.ended.size())}});
   }
-  for (const flows::FlowPacket& packet : ended) {
+  for (const flows::FlowPacket& packet : decision.ended) {
     Reset(packet);
   }
   Flush();
-  const bool is_news = !is_alive && !was_presumed_dead;
-  if (is_news && m_on_finding) {
+  if (decision.is_news && m_on_finding) {
     m_on_finding(upstream_id);
   }
 }
--- a/src/libs/flows/directory.h
+++ b/src/libs/flows/directory.h
@@ -29,6 +29,8 @@
   // Moving average of the time to the first packet of an answer.
   double response_ms = 0;
   SteadyTime check_started;
+  // That check follows another host's finding, who told it already.
+  bool is_check_hinted = false;
   // Not to be checked again before.
   SteadyTime next_check;
   // When the next new flow may be sent to it while it is cold.
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -185,9 +185,12 @@
   flow->last_packet = now;
   const uint32_t end =
       packet.sequence + static_cast<uint32_t>(packet.data_bytes);
-  // A caller sends without data only to acknowledge what it just received.
+  // A caller sends without data only to acknowledge what it just received, or
+  // to end the flow of its own accord.
+  const bool is_acknowledgement =
+      packet.data_bytes == 0 && !packet.is_closing && !packet.is_reset;
   const bool is_answer =
-      !is_first && (!flow->is_open || packet.data_bytes == 0 ||
+      !is_first && (!flow->is_open || is_acknowledgement ||
                     packet.acknowledged != flow->acknowledged);
   if (is_answer) {
     CountAnswered(*flow, upstream, now);
@@ -286,12 +289,13 @@
   }
   upstream->next_check = now + kCheckInterval;
   upstream->check_started = now;
+  upstream->is_check_hinted = false;
   return true;
 }
 
-std::vector<FlowPacket> Steering::RecordCheck(uint64_t upstream_id,
-                                              bool is_alive,
-                                              SteadyTime now) {
+CheckDecision Steering::RecordCheck(uint64_t upstream_id,
+                                    bool is_alive,
+                                    SteadyTime now) {
   Upstream* upstream = m_directory.FindUpstream(upstream_id);
   if (upstream == nullptr) {
     return {};
@@ -303,21 +307,24 @@
   const bool is_refuted =
       upstream->liveness.last_answer() >= upstream->check_started;
   if (is_refuted) {
+    upstream->next_check = now;
     return {};
   }
+  CheckDecision decision;
+  decision.is_news = !upstream->is_check_hinted &&
+                     upstream->liveness.health(now) != Health::kPresumedDead;
   upstream->liveness.RecordFailedCheck(now);
-  std::vector<FlowPacket> ended;
   m_flows.ForEach([&](const FlowKey& key, FlowRecord* flow) {
-    if (flow->upstream_id != upstream_id || !flow->is_waiting) {
+    if (flow->upstream_id != upstream_id) {
       return;
     }
     FlowPacket packet;
     packet.key = key;
     packet.acknowledged = flow->acknowledged;
-    ended.push_back(packet);
+    decision.ended.push_back(packet);
     SetWaiting(flow, false);
   });
-  return ended;
+  return decision;
 }
 
 const Upstream* Steering::TakeHint(uint64_t upstream_id, SteadyTime now) {
@@ -325,6 +332,7 @@
   if (upstream == nullptr || !StartCheck(upstream, now)) {
     return nullptr;
   }
+  upstream->is_check_hinted = true;
   upstream->liveness.RecordHint(now);
   return upstream;
 }
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -73,6 +73,15 @@
   const Upstream* check = nullptr;
 };
 
+// What the result of a check leads to.
+struct CheckDecision {
+  // The flows to reset at once since their upstream is gone, as the packets
+  // that they wait with.
+  std::vector<FlowPacket> ended;
+  // Other hosts should be told.
+  bool is_news = false;
+};
+
 // A packet whose sequence is farther away than this from the last one of its
 // flow belongs to another flow with the same ports: 16 packets of 1,200 bytes
 // may be under way, four times over.
@@ -94,11 +103,12 @@
   // An answer that `packet` should have had until now.
   OverdueDecision DecideOverdue(const FlowPacket& packet, SteadyTime now);
 
-  // The result of checking an upstream. Returns, as the packets that they wait
-  // with, the flows to reset at once, since their upstream is gone.
-  std::vector<FlowPacket> RecordCheck(uint64_t upstream_id,
-                                      bool is_alive,
-                                      SteadyTime now);
+  // The result of checking an upstream. Load pattern: callers keep flows idle;
+  // one that is reset with the others opens a new flow for its next request,
+  // which would be lost on the old one.
+  CheckDecision RecordCheck(uint64_t upstream_id,
+                            bool is_alive,
+                            SteadyTime now);
 
   // An upstream that should answer if this host's own link is in order: the one
   // that answered last, besides `checked`. Returns nullptr where none did.
--- /dev/null
+++ b/src/tools/emulator/main.cc
@@ -0,0 +1,159 @@
+// Plays load shapes in virtual time and compares placements:
+// poplarsail-emulate [OPTION...]
+
+#include <algorithm>
+#include <exception>
+#include <fstream>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+#include <cxxopts.hpp>
+#include <nlohmann/json.hpp>
+
+#include "emulator/emulator.h"
+
+namespace {
+
+using namespace poplarsail::emulator;
+using nlohmann::json;
+
+constexpr int kExitUsage = 2;
+
+struct Result {
+  std::string scenario;
+  std::string way;
+  Report report;
+};
+
+void PrintTable(const std::vector<Result>& results) {
+  fmt::print(
+      "{:<13} {:<15} {:>8} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>9} {:>7} "
+      "{:>9}\n",
+      "scenario", "placement", "requests", "served", "window", "domain", "kind",
+      "tries", "p99 ms", "imbalance", "goodput", "crash ms");
+  for (const Result& result : results) {
+    const Report& report = result.report;
+    fmt::print(
+        "{:<13} {:<15} {:>8} {:>6.3f} {:>6.3f} {:>6.3f} {:>6.3f} {:>6.2f} "
+        "{:>6.0f} {:>9.2f} {:>7.2f} {:>9.0f}\n",
+        result.scenario, result.way, report.requests, report.served,
+        report.worst_window, report.worst_domain, report.worst_kind,
+        report.tries_a_request, report.p99_ms, report.imbalance, report.goodput,
+        report.last_flow_after_crash_ms);
+  }
+}
+
+void PrintJson(const std::vector<Result>& results) {
+  json rows = json::array();
+  for (const Result& result : results) {
+    const Report& report = result.report;
+    rows.push_back(
+        {{"scenario", result.scenario},
+         {"placement", result.way},
+         {"requests", report.requests},
+         {"served", report.served},
+         {"worst_window", report.worst_window},
+         {"worst_domain", report.worst_domain},
+         {"worst_kind", report.worst_kind},
+         {"tries_a_request", report.tries_a_request},
+         {"p99_ms", report.p99_ms},
+         {"imbalance", report.imbalance},
+         {"goodput", report.goodput},
+         {"last_flow_after_crash_ms", report.last_flow_after_crash_ms},
+         {"by_window", report.by_window}});
+  }
+  fmt::print("{}\n", rows.dump(2));
+}
+
+// Writes a plot a scenario: the share served by window for each placement.
+void WritePlots(const std::vector<Result>& results,
+                const std::string& directory) {
+  std::vector<std::string> scenarios;
+  for (const Result& result : results) {
+    if (scenarios.empty() || scenarios.back() != result.scenario) {
+      scenarios.push_back(result.scenario);
+    }
+  }
+  for (const std::string& scenario : scenarios) {
+    std::vector<PlotLine> lines;
+    for (const Result& result : results) {
+      if (result.scenario == scenario) {
+        lines.push_back({result.way, result.report.by_window});
+      }
+    }
+    const std::string path = directory + "/" + scenario + ".svg";
+    std::ofstream file(path);
+    file << DrawPlot(scenario + ": share of worth served by window", lines,
+                     std::chrono::duration<double>(kWindow).count());
+    if (!file.flush()) {
+      throw std::runtime_error(fmt::format("{} can't be written", path));
+    }
+  }
+}
+
+template <typename Item>
+std::vector<Item> Chosen(std::vector<Item> items, const std::string& name) {
+  if (name.empty()) {
+    return items;
+  }
+  std::erase_if(items, [&name](const Item& item) { return item.name != name; });
+  if (items.empty()) {
+    throw std::invalid_argument(fmt::format("\"{}\" is not known", name));
+  }
+  return items;
+}
+
+int Emulate(const cxxopts::ParseResult& arguments) {
+  std::vector<Result> results;
+  for (const Scenario& scenario :
+       Chosen(StandardScenarios(), arguments["scenario"].as<std::string>())) {
+    for (const Way& way :
+         Chosen(AllWays(), arguments["placement"].as<std::string>())) {
+      results.push_back(
+          {scenario.name, way.name,
+           Run(scenario, way.placement, arguments["seed"].as<uint64_t>())});
+    }
+  }
+  if (arguments["output"].as<std::string>() == "json") {
+    PrintJson(results);
+  } else {
+    PrintTable(results);
+  }
+  const auto plots = arguments["plots"].as<std::string>();
+  if (!plots.empty()) {
+    WritePlots(results, plots);
+  }
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    cxxopts::Options options("poplarsail-emulate",
+                             "Plays load shapes and compares placements");
+    options.add_options()("h,help", "Show this help")(
+        "scenario", "Only this scenario",
+        cxxopts::value<std::string>()->default_value(""))(
+        "placement", "Only this placement",
+        cxxopts::value<std::string>()->default_value(""))(
+        "seed", "Seed", cxxopts::value<uint64_t>()->default_value("1"))(
+        "plots", "Folder for a plot (SVG) a scenario",
+        cxxopts::value<std::string>()->default_value(""))(
+        "output", "table or json",
+        cxxopts::value<std::string>()->default_value("table"));
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") > 0) {
+      fmt::print(
+          "{}\nExample: poplarsail-emulate --scenario burst-3 --plots .\n",
+          options.help());
+      return 0;
+    }
+    return Emulate(arguments);
+  } catch (const std::exception& error) {
+    fmt::print(stderr, "{}\n", error.what());
+    return kExitUsage;
+  }
+}
--- /dev/null
+++ b/src/tools/emulator/plot.h
@@ -0,0 +1,22 @@
+#ifndef EMULATOR_PLOT_H_
+#define EMULATOR_PLOT_H_
+
+#include <string>
+#include <vector>
+
+namespace poplarsail::emulator {
+
+// One line of a plot; its points are a window apart.
+struct PlotLine {
+  std::string name;
+  std::vector<double> values;
+};
+
+// Returns an SVG picture of shares between 0 and 1 over time.
+std::string DrawPlot(const std::string& title,
+                     const std::vector<PlotLine>& lines,
+                     double seconds_a_point);
+
+}  // namespace poplarsail::emulator
+
+#endif  // EMULATOR_PLOT_H_
--- /dev/null
+++ b/src/tools/emulator/run.h
@@ -0,0 +1,19 @@
+#ifndef EMULATOR_RUN_H_
+#define EMULATOR_RUN_H_
+
+#include <cstdint>
+
+#include "emulator/host_model.h"
+#include "emulator/recorder.h"
+#include "emulator/scenario.h"
+
+namespace poplarsail::emulator {
+
+// Plays the scenario; the same seed gives the same report.
+Report Run(const Scenario& scenario,
+           const PlacementFactory& placement,
+           uint64_t seed);
+
+}  // namespace poplarsail::emulator
+
+#endif  // EMULATOR_RUN_H_
--- /dev/null
+++ b/src/tools/emulator/ways.cc
@@ -0,0 +1,139 @@
+#include "emulator/ways.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <random>
+#include <utility>
+
+namespace poplarsail::emulator {
+
+namespace {
+
+using flows::PlacementRequest;
+using flows::Upstream;
+
+// Chooses among the upstreams in good health, or else among all that are left.
+class SimplePlacement : public flows::Placement {
+ public:
+  explicit SimplePlacement(uint64_t seed) : m_random(seed) {}
+
+  Upstream* Choose(const PlacementRequest& request) override {
+    std::vector<Upstream*> usable;
+    std::vector<Upstream*> healthy;
+    for (Upstream* upstream : request.service->upstreams) {
+      const bool is_avoided =
+          std::find(request.avoided.begin(), request.avoided.end(),
+                    upstream->record.id) != request.avoided.end();
+      if (is_avoided || !upstream->TakesNewFlows()) {
+        continue;
+      }
+      usable.push_back(upstream);
+      if (!upstream->is_lapsed && upstream->liveness.MayTry(request.now)) {
+        healthy.push_back(upstream);
+      }
+    }
+    const std::vector<Upstream*>& candidates =
+        healthy.empty() ? usable : healthy;
+    return candidates.empty() ? nullptr : ChooseAmong(candidates);
+  }
+
+ protected:
+  virtual Upstream* ChooseAmong(const std::vector<Upstream*>& candidates) = 0;
+
+  Upstream* ChooseAny(const std::vector<Upstream*>& candidates) {
+    return candidates[m_random() % candidates.size()];
+  }
+
+ private:
+  std::mt19937_64 m_random;
+};
+
+class RandomPlacement : public SimplePlacement {
+ public:
+  using SimplePlacement::SimplePlacement;
+
+ protected:
+  Upstream* ChooseAmong(const std::vector<Upstream*>& candidates) override {
+    return ChooseAny(candidates);
+  }
+};
+
+// The better one of two random upstreams.
+class TwoChoicesPlacement : public SimplePlacement {
+ public:
+  using SimplePlacement::SimplePlacement;
+
+ protected:
+  Upstream* ChooseAmong(const std::vector<Upstream*>& candidates) override {
+    Upstream* first = ChooseAny(candidates);
+    Upstream* second = ChooseAny(candidates);
+    return second->open_flows < first->open_flows ? second : first;
+  }
+};
+
+// The one with the least of some load, a random one of those that tie.
+class LeastPlacement : public SimplePlacement {
+ public:
+  using Load = std::function<uint32_t(const Upstream&)>;
+
+  LeastPlacement(uint64_t seed, Load load)
+      : SimplePlacement(seed), m_load(std::move(load)) {}
+
+ protected:
+  Upstream* ChooseAmong(const std::vector<Upstream*>& candidates) override {
+    std::vector<Upstream*> least;
+    for (Upstream* upstream : candidates) {
+      if (!least.empty() && m_load(*upstream) > m_load(*least.front())) {
+        continue;
+      }
+      if (!least.empty() && m_load(*upstream) < m_load(*least.front())) {
+        least.clear();
+      }
+      least.push_back(upstream);
+    }
+    return ChooseAny(least);
+  }
+
+ private:
+  Load m_load;
+};
+
+std::unique_ptr<flows::Placement> MakeLocalFirst(const std::string& domain,
+                                                 uint64_t seed) {
+  return std::make_unique<flows::LocalFirstPlacement>(domain, seed);
+}
+
+std::unique_ptr<flows::Placement> MakeRandom(const std::string&,
+                                             uint64_t seed) {
+  return std::make_unique<RandomPlacement>(seed);
+}
+
+std::unique_ptr<flows::Placement> MakeTwoChoices(const std::string&,
+                                                 uint64_t seed) {
+  return std::make_unique<TwoChoicesPlacement>(seed);
+}
+
+std::unique_ptr<flows::Placement> MakeLeastFlows(const std::string&,
+                                                 uint64_t seed) {
+  return std::make_unique<LeastPlacement>(
+      seed, [](const Upstream& upstream) { return upstream.open_flows; });
+}
+
+std::unique_ptr<flows::Placement> MakeLeastRequests(const std::string&,
+                                                    uint64_t seed) {
+  return std::make_unique<LeastPlacement>(
+      seed, [](const Upstream& upstream) { return upstream.waiting_flows; });
+}
+
+}  // namespace
+
+std::vector<Way> AllWays() {
+  return {{"local-first", MakeLocalFirst},
+          {"least-flows", MakeLeastFlows},
+          {"least-requests", MakeLeastRequests},
+          {"two-choices", MakeTwoChoices},
+          {"random", MakeRandom}};
+}
+
+}  // namespace poplarsail::emulator
--- a/tests/auto/flows/tst_steering.cc
+++ b/tests/auto/flows/tst_steering.cc
@@ -250,7 +250,7 @@
   fixture.now += 10ms;
   REQUIRE(fixture.steering.DueChecks(fixture.now).size() == 1);
   fixture.now += 10ms;
-  CHECK(fixture.steering.RecordCheck(1, false, fixture.now).size() == 1);
+  CHECK(fixture.steering.RecordCheck(1, false, fixture.now).ended.size() == 1);
   CHECK(fixture.steering
             .Decide(FlowFixture::Data(1, open.tag, 251, 900), fixture.now)
             .action == Action::kReset);
@@ -287,11 +287,17 @@
         fixture.steering.DecideOverdue(later, fixture.now);
     REQUIRE(overdue.check != nullptr);
     fixture.now += 90ms;
-    const auto ended = fixture.steering.RecordCheck(1, false, fixture.now);
-    REQUIRE(ended.size() == 1);
-    CHECK(ended[0].key == request.key);
-    CHECK(ended[0].acknowledged == 900);
-    // The next request on an idle flow is told at once.
+    const CheckDecision decision =
+        fixture.steering.RecordCheck(1, false, fixture.now);
+    CHECK(decision.is_news);
+    // The idle flow as well: its caller's next request opens a new one.
+    REQUIRE(decision.ended.size() == 2);
+    const bool is_first = decision.ended[0].key == request.key;
+    CHECK(decision.ended[is_first ? 0 : 1].key == request.key);
+    CHECK(decision.ended[is_first ? 0 : 1].acknowledged == 900);
+    CHECK(decision.ended[is_first ? 1 : 0].key ==
+          FlowFixture::Key(2, kTallyListener));
+    // A request that is on its way is told at once.
     CHECK(fixture.steering
               .Decide(FlowFixture::Data(2, idle.tag, 251, 900), fixture.now)
               .action == Action::kReset);
@@ -315,6 +321,10 @@
     CHECK(fixture.steering.Decide(FlowFixture::Opening(port), fixture.now)
               .upstream->record.id == 2);
   }
+  SECTION("its own check is no news to those who told it") {
+    fixture.now += 90ms;
+    CHECK_FALSE(fixture.steering.RecordCheck(1, false, fixture.now).is_news);
+  }
   SECTION("a hint alone ends no flow") {
     const uint32_t tag = MakeTag(kTallyListener, TagBase(1));
     CHECK(fixture.steering
@@ -341,12 +351,46 @@
   fixture.now += 10ms;
   fixture.Answer(1, waiting.tag);
   fixture.now += 80ms;
-  CHECK(fixture.steering.RecordCheck(1, false, fixture.now).empty());
+  CHECK(fixture.steering.RecordCheck(1, false, fixture.now).ended.empty());
   CHECK(fixture.steering
             .Decide(FlowFixture::Data(1, waiting.tag, 251, 900), fixture.now)
             .action == Action::kForward);
 }
 
+TEST_CASE("A caller that ends an idle flow tells nothing of its upstream") {
+  // Found by the emulator: the end of an idle flow refuted the failed check of
+  // a dark upstream, which got new flows for a second more (crash, seed 2).
+  FlowFixture fixture;
+  fixture.AddUpstream(1);
+  const Decision idle = fixture.OpenFlow(1);
+  fixture.Answer(1, idle.tag);
+  const auto& liveness = fixture.steering.directory().FindUpstream(1)->liveness;
+  const SteadyTime answered = liveness.last_answer();
+  fixture.now += 5s;
+  FlowPacket end = FlowFixture::Data(1, idle.tag, 251, 900);
+  end.data_bytes = 0;
+  SECTION("in good order") {
+    end.is_closing = true;
+  }
+  SECTION("by a reset") {
+    end.is_reset = true;
+  }
+  fixture.steering.Decide(end, fixture.now);
+  CHECK(liveness.last_answer() == answered);
+}
+
+TEST_CASE("A refuted check does not delay the next one") {
+  FlowFixture fixture;
+  fixture.AddUpstream(1);
+  const Decision flow = fixture.OpenFlow(1);
+  REQUIRE(fixture.steering.TakeHint(1, fixture.now) != nullptr);
+  fixture.now += 10ms;
+  fixture.Answer(1, flow.tag);
+  fixture.now += 80ms;
+  fixture.steering.RecordCheck(1, false, fixture.now);
+  CHECK(fixture.steering.TakeHint(1, fixture.now) != nullptr);
+}
+
 TEST_CASE("Silence proves no death while this host hears nobody in time") {
   // Load pattern: a host sends whole beliefs over a link of 10 Mbit/s, so that
   // its packets reach upstreams 350 ms late (sweep-300, abo-sail-grown).
