Tell findings to a few hosts of each other failure domain

Cause: a host knew of an upstream that went dark in another failure domain only once it lost a flow there itself.

Ruled out: telling all hosts of all domains (2,400 datagrams a finding at the target).

Change: seeds name two hosts of each other domain, who pass a finding on at home.

--- a/src/libs/entry/belief_codec.cc
+++ b/src/libs/entry/belief_codec.cc
@@ -223,7 +223,12 @@
   for (const model::Ipv4Endpoint& neighbour : fleet.neighbours) {
     neighbours.push_back(Encode(neighbour));
   }
+  json contacts = json::array();
+  for (const model::Ipv4Endpoint& contact : fleet.contacts) {
+    contacts.push_back(Encode(contact));
+  }
   json message = {{"version", kBeliefMessageVersion},
+                  {"contacts", contacts},
                   {"host_count", fleet.host_count},
                   {"neighbours", neighbours},
                   {"revisions", fleet.revisions}};
@@ -259,6 +264,9 @@
     for (const json& neighbour : parsed.at("neighbours")) {
       fleet.neighbours.push_back(DecodeEndpoint(neighbour));
     }
+    for (const json& contact : parsed.value("contacts", json::array())) {
+      fleet.contacts.push_back(DecodeEndpoint(contact));
+    }
     fleet.revisions = parsed.value("revisions", ListedRevisions{});
     if (!parsed.contains("configuration")) {
       return fleet;
--- a/src/libs/entry/belief_codec.h
+++ b/src/libs/entry/belief_codec.h
@@ -40,6 +40,8 @@
   uint32_t host_count = 0;
   // Where entry hosts of the asker's failure domain take findings.
   std::vector<model::Ipv4Endpoint> neighbours;
+  // The same of a few hosts in each other failure domain.
+  std::vector<model::Ipv4Endpoint> contacts;
   // Up to which revision the host that answers knows each kind.
   ListedRevisions revisions{};
 
--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -141,6 +141,7 @@
   options.fleet_seen = [this](const FleetView& fleet) {
     m_parts->placement->set_host_count(fleet.host_count);
     m_parts->findings.set_neighbours(fleet.neighbours);
+    m_parts->findings.set_contacts(fleet.contacts);
   };
   m_parts->packets.set_on_finding(
       [this](uint64_t upstream_id) { m_parts->findings.Tell(upstream_id); });
--- a/src/libs/entry/findings_port.cc
+++ b/src/libs/entry/findings_port.cc
@@ -13,6 +13,7 @@
 
 // Version of a finding; others are ignored.
 constexpr int kFindingVersion = 1;
+constexpr size_t kDatagramHeaderBytes = 28;
 
 udp::endpoint ToUdp(const model::Endpoint& endpoint) {
   return {endpoint.address, endpoint.port};
@@ -31,14 +32,29 @@
   m_neighbours = std::move(neighbours);
 }
 
+void FindingsPort::set_contacts(std::vector<model::Ipv4Endpoint> contacts) {
+  m_contacts = std::move(contacts);
+}
+
 void FindingsPort::Tell(uint64_t upstream_id) {
-  const std::vector<uint8_t> message =
-      json::to_msgpack(json::array({kFindingVersion, upstream_id}));
-  for (const model::Ipv4Endpoint& neighbour : m_neighbours) {
+  Send(upstream_id, false, m_neighbours);
+  Send(upstream_id, true, m_contacts);
+}
+
+void FindingsPort::Send(uint64_t upstream_id,
+                        bool is_to_pass_on,
+                        const std::vector<model::Ipv4Endpoint>& targets) {
+  const std::vector<uint8_t> message = json::to_msgpack(
+      json::array({kFindingVersion, upstream_id, is_to_pass_on}));
+  const auto now = std::chrono::steady_clock::now();
+  for (const model::Ipv4Endpoint& neighbour : targets) {
     const udp::endpoint target = ToUdp(model::ToEndpoint(neighbour));
     if (target == m_own) {
       continue;
     }
+    if (!m_budget.Take(message.size() + kDatagramHeaderBytes, now)) {
+      return;
+    }
     boost::system::error_code ignored;
     m_socket.send_to(boost::asio::buffer(message), target, 0, ignored);
   }
@@ -65,9 +81,15 @@
   const bool is_usable = message.is_array() && message.size() >= 2 &&
                          message[0] == kFindingVersion &&
                          message[1].is_number_unsigned();
-  if (is_usable) {
-    m_callback(message[1].get<uint64_t>());
+  if (!is_usable) {
+    return;
+  }
+  const auto upstream_id = message[1].get<uint64_t>();
+  const bool is_to_pass_on = message.size() >= 3 && message[2] == true;
+  if (is_to_pass_on) {
+    Send(upstream_id, false, m_neighbours);
   }
+  m_callback(upstream_id);
 }
 
 }  // namespace poplarsail::entry
--- a/src/libs/entry/peer_exchange.cc
+++ b/src/libs/entry/peer_exchange.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <map>
 #include <utility>
 
 #include <fmt/format.h>
@@ -26,17 +27,6 @@
 
 }  // namespace
 
-bool SendBudget::Take(size_t bytes, belief::SteadyTime now) {
-  const auto earliest = now - std::chrono::seconds(1);
-  m_paid_at = std::max(m_paid_at, earliest);
-  if (m_paid_at > now) {
-    return false;
-  }
-  m_paid_at += std::chrono::microseconds(static_cast<int64_t>(
-      1e6 * static_cast<double>(bytes) / m_bytes_per_second));
-  return true;
-}
-
 PeerExchange::PeerExchange(asio::io_context* context,
                            belief::Belief* belief,
                            Options options)
@@ -246,16 +236,23 @@
         return asker.endpoint == m_options.own_endpoint;
       });
   fleet.host_count += asks_itself ? 0 : 1;
-  for (const Asker& asker : m_askers) {
-    if (asker.failure_domain == failure_domain &&
-        fleet.neighbours.size() < kMaxNeighbours) {
-      fleet.neighbours.push_back(asker.findings);
+  std::map<std::string, size_t> contacts;
+  // The latest askers are the likeliest to be there.
+  for (auto asker = m_askers.rbegin(); asker != m_askers.rend(); ++asker) {
+    if (asker->failure_domain == failure_domain) {
+      if (fleet.neighbours.size() < kMaxNeighbours) {
+        fleet.neighbours.push_back(asker->findings);
+      }
+    } else if (contacts[asker->failure_domain]++ < kContactsPerDomain) {
+      fleet.contacts.push_back(asker->findings);
     }
   }
   const auto own =
       model::ParseIpv4Endpoint(model::ToString(m_options.findings));
   if (own && m_options.failure_domain == failure_domain) {
     fleet.neighbours.push_back(*own);
+  } else if (own && contacts[m_options.failure_domain] < kContactsPerDomain) {
+    fleet.contacts.push_back(*own);
   }
   return fleet;
 }
--- a/src/libs/entry/peer_exchange.h
+++ b/src/libs/entry/peer_exchange.h
@@ -18,6 +18,7 @@
 #include "belief/belief.h"
 #include "entry/belief_codec.h"
 #include "entry/http_responder.h"
+#include "entry/send_budget.h"
 #include "model/model.h"
 
 namespace poplarsail::entry {
@@ -51,6 +52,8 @@
 inline constexpr size_t kMaxAskedAtOnce = 8;
 // Neighbours that a host tells its findings to.
 inline constexpr size_t kMaxNeighbours = 64;
+// Hosts of each other failure domain that it tells them to: one may be down.
+inline constexpr size_t kContactsPerDomain = 2;
 
 struct PeerCounts {
   uint64_t asked = 0;
@@ -62,23 +65,6 @@
   friend bool operator==(const PeerCounts&, const PeerCounts&) = default;
 };
 
-// Bounds the bytes that are sent. Load pattern: all hosts of a large fleet
-// start while the store is away, and each asks for the whole belief.
-class SendBudget {
- public:
-  explicit SendBudget(double bytes_per_second)
-      : m_bytes_per_second(bytes_per_second) {}
-
-  // Returns whether `bytes` may be sent now. The budget may be overdrawn by one
-  // message, so that a message of any size gets through.
-  bool Take(size_t bytes, belief::SteadyTime now);
-
- private:
-  double m_bytes_per_second;
-  // When the bytes that were taken so far are paid for.
-  belief::SteadyTime m_paid_at;
-};
-
 // Learns from other entry hosts what the store does not tell, and tells them.
 // Beliefs merge by revision, so any host may be asked, however old its belief.
 class PeerExchange {
