Reset flows of a dead upstream once and log its silence once

Cause: a flow that was reset since its upstream failed a check kept its record, so each further check, one a second, reset it again; and each check wrote a line for as long as the upstream stayed dark. Seen in the log of a real daemon.

Ruled out: fewer checks (they find the upstream's return).

Change: the record of an ended flow is emptied; a check is logged where it changes the judgement or ends flows; lines of placements and checks name the failure domain.

--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -35,6 +35,8 @@
        {"upstream", upstream == nullptr
                         ? "none"
                         : fmt::format("{:x}", upstream->record.id)},
+       {"domain",
+        upstream == nullptr ? "none" : upstream->record.failure_domain},
        {"revision",
         std::to_string(upstream == nullptr ? 0 : upstream->revision)},
        {"flows",
@@ -172,18 +174,22 @@
   const flows::Health health = upstream == nullptr
                                    ? flows::Health::kGood
                                    : upstream->liveness.health(now);
-  const bool was_doubted = health != flows::Health::kGood;
   const flows::CheckDecision decision =
       m_steering->RecordCheck(upstream_id, is_alive, now);
   m_counts.failed_checks += is_alive ? 0 : 1;
-  if (was_doubted || !is_alive) {
-    telemetry::Log(telemetry::LogLevel::kInfo, "packets",
-                   is_alive ? "upstream answers" : "upstream does not answer",
-                   {{"upstream", fmt::format("{:x}", upstream_id)},
-                    {"connection", result == CheckResult::kRefused
-                                       ? "refused"
-                                       : (is_alive ? "made" : "silent")},
-                    {"flows_ended", std::to_string(decision.ended.size())}});
+  const flows::Health expected =
+      is_alive ? flows::Health::kGood : flows::Health::kPresumedDead;
+  if (health != expected || !decision.ended.empty()) {
+    telemetry::Log(
+        telemetry::LogLevel::kInfo, "packets",
+        is_alive ? "upstream answers" : "upstream does not answer",
+        {{"upstream", fmt::format("{:x}", upstream_id)},
+         {"domain",
+          upstream == nullptr ? "none" : upstream->record.failure_domain},
+         {"connection", result == CheckResult::kRefused
+                            ? "refused"
+                            : (is_alive ? "made" : "silent")},
+         {"flows_ended", std::to_string(decision.ended.size())}});
   }
   for (const flows::FlowPacket& packet : decision.ended) {
     Reset(packet);
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -322,7 +322,9 @@
     packet.key = key;
     packet.acknowledged = flow->acknowledged;
     decision.ended.push_back(packet);
-    SetWaiting(flow, false);
+    Release(*flow);
+    *flow = FlowRecord{};
+    flow->last_packet = now;
   });
   return decision;
 }
--- a/tests/auto/flows/tst_steering.cc
+++ b/tests/auto/flows/tst_steering.cc
@@ -297,6 +297,8 @@
     CHECK(decision.ended[is_first ? 0 : 1].acknowledged == 900);
     CHECK(decision.ended[is_first ? 1 : 0].key ==
           FlowFixture::Key(2, kTallyListener));
+    // They are told once.
+    CHECK(fixture.steering.RecordCheck(1, false, fixture.now).ended.empty());
     // A request that is on its way is told at once.
     CHECK(fixture.steering
               .Decide(FlowFixture::Data(2, idle.tag, 251, 900), fixture.now)
