--- a/soak/upstream.cc
+++ b/soak/upstream.cc
@@ -17,6 +17,9 @@
 constexpr std::chrono::milliseconds kWork{15};
 constexpr size_t kIdBytes = 8;
 
+// More than a queue of length 0 takes.
+constexpr int kQueueFillers = 4;
+
 }  // namespace
 
 Upstream::Upstream(boost::asio::io_context* context,
@@ -51,6 +54,17 @@
   m_acceptor.close(ignored);
 }
 
+void Upstream::CutOff() {
+  m_is_cut_off = true;
+  m_acceptor.cancel();
+  m_acceptor.listen(0);
+  for (int i = 0; i < kQueueFillers; ++i) {
+    m_queue_fillers.emplace_back(*m_context);
+    m_queue_fillers.back().async_connect(
+        m_acceptor.local_endpoint(), [](const boost::system::error_code&) {});
+  }
+}
+
 bool Upstream::Holds(const FlowId& flow) const {
   const auto found = m_flows.find(flow);
   return m_is_running && found != m_flows.end() && found->second.is_open;
@@ -72,7 +86,10 @@
         if (error == boost::asio::error::operation_aborted || !m_is_running) {
           return;
         }
-        if (!error && m_hooks.is_reachable(m_sender.address().to_string())) {
+        const bool is_taken =
+            !error && !m_is_cut_off &&
+            m_hooks.is_reachable(m_sender.address().to_string());
+        if (is_taken) {
           Take({m_buffer.data(), size});
         }
         ReceiveNext();
--- a/soak/upstream.h
+++ b/soak/upstream.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -54,6 +55,9 @@
 
   // Ends without a word: flows are lost and nothing answers.
   void Crash();
+  // Goes on but is cut off: packets are ignored and connections stay without
+  // an answer.
+  void CutOff();
   // Whether it holds the flow, open at both ends.
   bool Holds(const FlowId& flow) const;
   bool is_running() const { return m_is_running; }
@@ -97,6 +101,9 @@
   std::map<FlowId, Flow> m_flows;
   std::map<FlowId, uint32_t> m_echoes;
   bool m_is_running = true;
+  bool m_is_cut_off = false;
+  // Fill the queue of connections that are never accepted.
+  std::list<boost::asio::ip::tcp::socket> m_queue_fillers;
 };
 
 }  // namespace poplarsail::soak
--- a/src/app/commands.cc
+++ b/src/app/commands.cc
@@ -102,7 +102,7 @@
       {"validate", "Check a file of resources", &AddApiOptions, &RunValidate},
       {"status", "Show what is in force on which entry host", &AddApiOptions,
        &RunStatus},
-      {"explain", "Tell where a daemon sends a flow and why",
+      {"explain", "Tell where a flow goes, or from logs why it failed",
        &AddExplainOptions, &RunExplain},
       {"report", "Show the service-level burn", &AddReportOptions, &RunReport},
   };
--- /dev/null
+++ b/src/app/explain_logs.h
@@ -0,0 +1,15 @@
+#ifndef APP_EXPLAIN_LOGS_H_
+#define APP_EXPLAIN_LOGS_H_
+
+#include <cxxopts.hpp>
+
+namespace poplarsail::app {
+
+void AddExplainLogsOptions(cxxopts::Options* options);
+
+// Tells the story of a flow or an upstream from log files.
+int ExplainLogs(const cxxopts::ParseResult& arguments);
+
+}  // namespace poplarsail::app
+
+#endif  // APP_EXPLAIN_LOGS_H_
--- a/src/app/observe_commands.cc
+++ b/src/app/observe_commands.cc
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include "app/commands.h"
+#include "app/explain_logs.h"
 #include "model/model.h"
 
 namespace poplarsail::app {
@@ -84,9 +85,13 @@
       cxxopts::value<std::string>()->default_value(""))(
       "protocol", "tcp or udp",
       cxxopts::value<std::string>()->default_value("tcp"));
+  AddExplainLogsOptions(options);
 }
 
 int RunExplain(const cxxopts::ParseResult& arguments) {
+  if (arguments.count("log") > 0) {
+    return ExplainLogs(arguments);
+  }
   const model::Endpoint admin =
       ParseAdmin(arguments["admin"].as<std::string>());
   const HttpReply reply = HttpGet(
--- /dev/null
+++ b/tests/auto/explain/tst_explain.cc
@@ -0,0 +1,202 @@
+#include <catch2/catch.hpp>
+
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "explain/explain.h"
+
+namespace poplarsail::explain {
+namespace {
+
+using namespace std::chrono_literals;
+
+LogFile Read(const std::string& text, const std::string& name = "front") {
+  std::istringstream stream(text);
+  return ReadLog(&stream, name);
+}
+
+std::string Line(const std::string& time,
+                 const std::string& message,
+                 const std::string& fields) {
+  return "time=2026-12-04T06:" + time + "Z level=info duty=packets msg=\"" +
+         message + "\" " + fields + "\n";
+}
+
+std::string Started(const std::string& time,
+                    const std::string& host,
+                    const std::string& domain) {
+  return Line(time, "started", "host=" + host + " failure_domain=" + domain);
+}
+
+TEST_CASE("A line is read as it was written") {
+  const auto line = ParseLogLine(
+      R"(time=2026-12-04T06:12:16.525Z level=warning duty=state )"
+      R"(msg="store lost" reason="can't \"reach\" it" revision=7)");
+  REQUIRE(line);
+  CHECK(FormatLogTime(line->time) == "2026-12-04T06:12:16.525Z");
+  CHECK(line->message == "store lost");
+  CHECK(line->Value("reason") == R"(can't "reach" it)");
+  CHECK(line->Value("revision") == "7");
+  CHECK(line->Value("level").empty());
+}
+
+TEST_CASE("What is no line is counted") {
+  const LogFile file =
+      Read("Segmentation fault\ntime=yesterday msg=started\n\n" +
+           Started("00:01.000", "front-1", "regina") +
+           "time=2026-12-04T06:00:02.000Z msg=\"cut off");
+  CHECK(file.unreadable == 4);
+  REQUIRE(file.lines.size() == 1);
+  CHECK(file.host == "front-1");
+  CHECK(file.failure_domain == "regina");
+}
+
+TEST_CASE("A file that holds no log is refused by name") {
+  CHECK_THROWS_WITH(ReadLogFile("/nowhere/front.log"),
+                    "/nowhere/front.log: can't be read");
+}
+
+TEST_CASE("A clock that is off is put right by shared revisions") {
+  const std::string taken = "kind=upstreams objects=1 revision=";
+  const std::vector<LogFile> files = {
+      Read(Line("00:10.000", "changes taken", taken + "5") +
+               Line("00:20.000", "changes taken", taken + "6"),
+           "a"),
+      Read(Line("01:10.200", "changes taken", taken + "5") +
+               Line("01:20.100", "changes taken", taken + "6"),
+           "b"),
+      Read(Line("00:10.300", "changes taken", taken + "5") +
+               Line("00:19.900", "changes taken", taken + "6"),
+           "c")};
+  const auto segments = AlignClocks(files);
+  REQUIRE(segments.size() == 3);
+  CHECK(segments[0].correction == 0ms);
+  CHECK(segments[1].correction < -59s);
+  CHECK(segments[1].correction > -61s);
+  CHECK(segments[1].shared_revisions == 2);
+  CHECK(segments[2].correction == 0ms);
+}
+
+TEST_CASE("A log is split where its clock went back") {
+  const std::vector<LogFile> files = {
+      Read(Line("05:00.000", "ready", "") + Line("05:01.000", "ready", "") +
+           Line("01:02.000", "ready", "") + Line("01:03.000", "ready", ""))};
+  const auto segments = AlignClocks(files);
+  REQUIRE(segments.size() == 2);
+  CHECK(segments[0].end_line == 2);
+  CHECK(segments[1].first_line == 2);
+}
+
+const std::string kFlow = "100.64.0.1:1025";
+
+std::string Placed(const std::string& time, const std::string& upstream) {
+  return Line(time, "flow placed",
+              "flow=" + kFlow +
+                  " listener=198.18.0.1:8443 reason=placed copy=0 upstream=" +
+                  upstream + " domain=brandon revision=4 flows=1");
+}
+
+std::string Silent(const std::string& time, const std::string& upstream) {
+  return Line(time, "upstream does not answer",
+              "upstream=" + upstream +
+                  " domain=brandon connection=silent flows_ended=1");
+}
+
+TEST_CASE("The cause of a failed flow is named") {
+  std::string front = Started("00:00.000", "front-1", "regina") +
+                      Line("00:00.100", "ready", "configuration=1") +
+                      Placed("00:10.000", "a1");
+  std::string other = Started("00:00.000", "front-2", "brandon");
+  Cause expected = Cause::kNoTrace;
+  std::string evidence;
+  Subject subject{kFlow, "", std::nullopt};
+  SECTION("its upstream died") {
+    front += Silent("00:10.200", "a1");
+    expected = Cause::kUpstreamDark;
+    evidence = "front-1 found upstream a1 silent at 2026-12-04T06:00:10.200Z";
+  }
+  SECTION("its upstream's domain was cut off") {
+    front += Silent("00:10.200", "a1") + Silent("00:10.300", "a2");
+    expected = Cause::kDomainCut;
+    evidence = "brandon was cut off: 2 of its upstreams";
+  }
+  SECTION("its upstream's domain was lost") {
+    front += Silent("00:10.200", "a1") + Silent("00:10.300", "a2");
+    other += Silent("00:10.250", "a2");
+    expected = Cause::kDomainLost;
+    evidence = "also for its own hosts";
+  }
+  SECTION("it was found silent long before") {
+    front = Started("00:00.000", "front-1", "regina") +
+            Silent("00:01.000", "a1") + Placed("00:10.000", "a1");
+    expected = Cause::kUpstreamDark;
+    evidence = "silent at 2026-12-04T06:00:01.000Z";
+  }
+  SECTION("silence that ended before is not the cause") {
+    front = Started("00:00.000", "front-1", "regina") +
+            Silent("00:01.000", "a1") +
+            Line("00:02.000", "upstream answers", "upstream=a1") +
+            Placed("00:10.000", "a1");
+    expected = Cause::kNothingFailed;
+    evidence = "was not found silent";
+  }
+  SECTION("nobody could take it") {
+    front += Line("00:11.000", "flow refused",
+                  "flow=" + kFlow + " reason=no-upstream upstream=none");
+    expected = Cause::kNoUpstream;
+    evidence = "refused by front-1";
+  }
+  SECTION("no daemon had a belief") {
+    subject.flow = "100.64.0.9:9";
+    subject.at = ParseLogTime("2026-12-04T06:00:30.000Z");
+    other += Started("00:29.000", "front-2", "brandon") +
+             Line("00:29.100", "store lost", "reason=\"connection refused\"");
+    expected = Cause::kNoBelief;
+    evidence =
+        "front-2 started at 2026-12-04T06:00:29.000Z and is not ready yet, "
+        "store lost: connection refused";
+  }
+  SECTION("nothing is known") {
+    subject.flow = "100.64.0.9:9";
+    expected = Cause::kNoTrace;
+    evidence = "--at";
+  }
+  const Story story = TellStory({Read(front), Read(other)}, subject);
+  CAPTURE(story.summary);
+  CHECK(story.cause == expected);
+  CHECK(story.summary.find(evidence) != std::string::npos);
+}
+
+TEST_CASE("A story is told in the order of corrected times") {
+  const std::string taken = "kind=upstreams objects=1 revision=5";
+  const std::vector<LogFile> files = {
+      Read(Started("00:00.000", "front-1", "regina") +
+           Line("00:05.000", "changes taken", taken) +
+           Placed("00:10.000", "a1")),
+      Read(Started("30:00.000", "front-2", "regina") +
+           Line("30:05.000", "changes taken", taken) +
+           Silent("30:10.100", "a1")),
+      Read(Started("00:00.000", "front-3", "regina") +
+           Line("00:05.100", "changes taken", taken))};
+  const Story story = TellStory(files, {kFlow, "", std::nullopt});
+  REQUIRE(story.lines.size() == 2);
+  CHECK(story.lines[0].line.message == "flow placed");
+  CHECK(story.lines[1].line.message == "upstream does not answer");
+  CHECK(story.cause == Cause::kUpstreamDark);
+  REQUIRE(story.clocks.size() == 1);
+  CHECK(story.clocks[0].starts_with("front-2: -1799900 ms"));
+}
+
+TEST_CASE("A story of an upstream has all that was decided on it") {
+  const Story story =
+      TellStory({Read(Started("00:00.000", "front-1", "regina") +
+                      Placed("00:10.000", "a1") + Placed("00:11.000", "b2") +
+                      Silent("00:12.000", "a1"))},
+                {"", "a1", std::nullopt});
+  CHECK(story.lines.size() == 2);
+  CHECK(story.cause == Cause::kUpstreamDark);
+}
+
+}  // namespace
+}  // namespace poplarsail::explain
--- /dev/null
+++ b/tests/auto/explain/tst_explain_daemons.cc
@@ -0,0 +1,306 @@
+// Real daemons on loopback: one thing is broken, and the cause is found from
+// their logs alone.
+#include <catch2/catch.hpp>
+
+#include <unistd.h>
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "explain/explain.h"
+#include "soak/entry_process.h"
+#include "soak/tcp_proxy.h"
+#include "soak/upstream.h"
+#include "soak/violations.h"
+#include "soak/wire.h"
+#include "standins/platform_objects.h"
+#include "standins/platform_store.h"
+
+namespace poplarsail::explain {
+namespace {
+
+using namespace std::chrono_literals;
+using boost::asio::ip::udp;
+using soak::Packet;
+
+constexpr uint16_t kPacketPort = 18'172;
+// Callers send again after this time.
+constexpr std::chrono::milliseconds kCopyPause{200};
+
+model::Endpoint Loopback(const std::string& host, uint16_t port) {
+  return {boost::asio::ip::make_address("127.11." + host), port};
+}
+
+model::Ipv4Endpoint Ipv4(const std::string& text) {
+  return *model::ParseIpv4Endpoint(text);
+}
+
+// One daemon in failure domain regina, a store behind a proxy, upstreams, and a
+// caller with one flow.
+class Site {
+ public:
+  Site()
+      : m_store(&m_context, Loopback("4.1", 18'000)),
+        m_proxy(&m_context, Loopback("4.2", 18'001), m_store.endpoint()),
+        m_socket(m_context,
+                 udp::endpoint(Loopback("2.1", 0).address, kPacketPort)) {
+    m_directory = std::filesystem::temp_directory_path() /
+                  ("poplarsail-explain-" + std::to_string(::getpid()));
+    std::filesystem::create_directories(m_directory);
+    m_store.Put(
+        "config", "main",
+        standins::ConfigurationSpec(1, {{m_listener, "tally"}}, {"tally"}));
+    soak::EntryProcessOptions options;
+    options.program = POPLARSAIL_PROGRAM;
+    options.directory = m_directory;
+    options.name = "front-regina-1";
+    options.failure_domain = "regina";
+    options.address = "127.11.1.1";
+    options.packet_port = kPacketPort;
+    options.store = Loopback("4.2", 18'001);
+    options.seeds = "127.11.1.9:18166";
+    m_daemon = std::make_unique<soak::EntryProcess>(options);
+    ReceiveNext();
+  }
+
+  ~Site() {
+    m_daemon.reset();
+    std::filesystem::remove_all(m_directory);
+  }
+
+  soak::Upstream* AddUpstream(uint64_t id, const std::string& domain) {
+    soak::UpstreamOptions options;
+    options.id = id;
+    options.service = "tally";
+    options.failure_domain = domain;
+    options.endpoint = Ipv4("127.11.3.1:" + std::to_string(21'000 + id));
+    options.caller_port = kPacketPort;
+    soak::UpstreamHooks hooks;
+    hooks.is_reachable = [](const std::string&) { return true; };
+    hooks.opened = [](const auto&, const auto&, const auto&) {};
+    m_upstreams.push_back(std::make_unique<soak::Upstream>(
+        &m_context, options, std::move(hooks), &m_ledger, &m_violations));
+    soak::Upstream* upstream = m_upstreams.back().get();
+    m_store.Put(
+        "servers", upstream->name(),
+        standins::RegistrationSpec("tally", options.endpoint, domain, "ready"));
+    return upstream;
+  }
+
+  soak::EntryProcess& daemon() { return *m_daemon; }
+  soak::TcpProxy& store_path() { return m_proxy; }
+
+  // Until the daemon's log has a line with the message.
+  void WaitForLine(const std::string& message) {
+    RunUntil([&]() {
+      const std::vector<LogFile> logs = ReadLogs();
+      for (const LogLine& line : logs.front().lines) {
+        if (line.message == message) {
+          return true;
+        }
+      }
+      return false;
+    });
+  }
+
+  // Goes on with another flow.
+  void BeginFlow() {
+    ++m_caller.port;
+    m_sequence = 1'000;
+    m_acknowledged = 0;
+    m_echo = 0;
+    m_is_open = false;
+    m_is_reset = false;
+  }
+
+  // Opens the flow and returns the upstream that holds it.
+  soak::Upstream* OpenFlow() {
+    Packet opening;
+    opening.syn = true;
+    opening.sequence = m_sequence;
+    SendUntil(opening, [this]() { return m_is_open; });
+    ++m_sequence;
+    Packet first;
+    first.ack = true;
+    soak::Upstream* holder = nullptr;
+    SendUntil(Fill(first), [&]() {
+      for (const auto& upstream : m_upstreams) {
+        holder =
+            upstream->Holds({m_caller, m_listener}) ? upstream.get() : holder;
+      }
+      return holder != nullptr;
+    });
+    return holder;
+  }
+
+  // Asks on the flow, again and again, until the system resets it.
+  void AskUntilReset() {
+    Packet request;
+    request.ack = true;
+    request.data = "REQ 1 once tally";
+    SendUntil(Fill(request), [this]() { return m_is_reset; });
+  }
+
+  // Sends one opening packet that nobody answers.
+  void SendOpening() {
+    Packet opening;
+    opening.syn = true;
+    opening.sequence = m_sequence;
+    Send(opening);
+    RunFor(kCopyPause);
+  }
+
+  std::vector<LogFile> ReadLogs() const {
+    try {
+      return {ReadLogFile(m_directory / "front-regina-1.log")};
+    } catch (const LogFileError&) {
+      return {LogFile()};
+    }
+  }
+
+  std::string flow() const { return model::ToString(m_caller); }
+
+ private:
+  void RunFor(std::chrono::milliseconds time) {
+    m_context.restart();
+    m_context.run_for(time);
+  }
+
+  void RunUntil(const std::function<bool()>& condition) {
+    while (!condition()) {
+      RunFor(20ms);
+    }
+  }
+
+  void SendUntil(const Packet& packet, const std::function<bool()>& condition) {
+    while (!condition()) {
+      Send(packet);
+      for (int i = 0; i < 10 && !condition(); ++i) {
+        RunFor(kCopyPause / 10);
+      }
+    }
+  }
+
+  Packet Fill(Packet packet) const {
+    packet.sequence = m_sequence;
+    packet.acknowledged = m_acknowledged;
+    packet.echo = m_echo;
+    return packet;
+  }
+
+  void Send(Packet packet) {
+    packet.source = m_caller;
+    packet.destination = m_listener;
+    const std::vector<uint8_t> bytes = soak::Encode(packet);
+    m_socket.send_to(boost::asio::buffer(bytes),
+                     udp::endpoint(Loopback("1.1", 0).address, kPacketPort));
+  }
+
+  void ReceiveNext() {
+    m_socket.async_receive(
+        boost::asio::buffer(m_buffer),
+        [this](const boost::system::error_code& error, size_t size) {
+          if (error) {
+            return;
+          }
+          const auto packet = soak::Decode({m_buffer.data(), size});
+          if (packet && packet->rst) {
+            m_is_reset = true;
+          } else if (packet && packet->syn) {
+            m_is_open = true;
+            m_acknowledged = packet->sequence + 1;
+            m_echo = packet->echo;
+          }
+          ReceiveNext();
+        });
+  }
+
+  boost::asio::io_context m_context;
+  std::filesystem::path m_directory;
+  standins::PlatformStore m_store;
+  soak::TcpProxy m_proxy;
+  udp::socket m_socket;
+  std::array<uint8_t, 2048> m_buffer{};
+  std::unique_ptr<soak::EntryProcess> m_daemon;
+  soak::RunLedger m_ledger;
+  soak::Violations m_violations;
+  std::vector<std::unique_ptr<soak::Upstream>> m_upstreams;
+  model::Ipv4Endpoint m_listener = Ipv4("198.18.0.1:8443");
+  model::Ipv4Endpoint m_caller = Ipv4("127.11.2.1:1025");
+  uint32_t m_sequence = 1'000;
+  uint32_t m_acknowledged = 0;
+  uint32_t m_echo = 0;
+  bool m_is_open = false;
+  bool m_is_reset = false;
+};
+
+TEST_CASE("An upstream that died is found from the logs") {
+  Site site;
+  site.AddUpstream(1, "regina");
+  site.AddUpstream(2, "regina");
+  site.daemon().Start();
+  site.WaitForLine("ready");
+  site.OpenFlow()->Crash();
+  site.AskUntilReset();
+  site.WaitForLine("upstream does not answer");
+  const Story story =
+      TellStory(site.ReadLogs(), {site.flow(), "", std::nullopt});
+  CAPTURE(story.summary);
+  CHECK(story.cause == Cause::kUpstreamDark);
+  CHECK(story.summary.find("front-regina-1 found upstream") !=
+        std::string::npos);
+}
+
+TEST_CASE("A failure domain that is cut off is found from the logs") {
+  Site site;
+  soak::Upstream* first = site.AddUpstream(1, "brandon");
+  soak::Upstream* second = site.AddUpstream(2, "brandon");
+  site.AddUpstream(3, "regina");
+  site.daemon().Start();
+  site.WaitForLine("ready");
+  // Flows go to the daemon's own failure domain until that is loaded.
+  while (site.OpenFlow()->options().failure_domain != "brandon") {
+    site.BeginFlow();
+  }
+  const std::string flow = site.flow();
+  first->CutOff();
+  second->CutOff();
+  site.AskUntilReset();
+  // The other upstream is found as further flows are sent there.
+  const auto tell = [&]() {
+    return TellStory(site.ReadLogs(), {flow, "", std::nullopt});
+  };
+  for (int i = 0; i < 100 && tell().cause != Cause::kDomainCut; ++i) {
+    site.BeginFlow();
+    site.OpenFlow();
+  }
+  const Story story = tell();
+  CAPTURE(story.summary);
+  CHECK(story.cause == Cause::kDomainCut);
+  CHECK(story.summary.find("brandon was cut off") != std::string::npos);
+}
+
+TEST_CASE("A store that was away at a restart is found from the logs") {
+  Site site;
+  site.AddUpstream(1, "regina");
+  site.store_path().set_mode(soak::ProxyMode::kReset);
+  site.daemon().Start();
+  site.WaitForLine("store lost");
+  site.SendOpening();
+  const std::vector<LogFile> logs = site.ReadLogs();
+  const Story story =
+      TellStory(logs, {site.flow(), "", logs.front().lines.back().time});
+  CAPTURE(story.summary);
+  CHECK(story.cause == Cause::kNoBelief);
+  CHECK(story.summary.find("front-regina-1 started at") != std::string::npos);
+  CHECK(story.summary.find("store lost: ") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace poplarsail::explain
