--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -19,6 +19,7 @@
 #include "entry/metrics.h"
 #include "entry/packet_loop.h"
 #include "entry/peer_exchange.h"
+#include "entry/retry_gate.h"
 #include "entry/state_follower.h"
 #include "flows/flows.h"
 #include "telemetry/telemetry.h"
@@ -54,6 +55,7 @@
         packets(context, settings, codec, &steering),
         readiness(context, settings.readiness),
         metrics(context, {settings.packets.address, settings.metrics_port}),
+        gate(context),
         findings(
             context,
             {settings.peers.address, settings.findings_port},
@@ -70,6 +72,8 @@
   PacketLoop packets;
   HttpResponder readiness;
   HttpResponder metrics;
+  // Of all followers of the store.
+  RetryGate gate;
   FindingsPort findings;
   std::vector<std::unique_ptr<StateFollower>> followers;
   std::unique_ptr<PeerExchange> peers;
@@ -157,8 +161,8 @@
       belief::Kind::kTakeOuts};
   for (const belief::Kind kind : kFollowed) {
     m_parts->followers.push_back(std::make_unique<StateFollower>(
-        m_context, m_platform.store.get(), kind, &m_parts->belief,
-        [this]() { BeliefChanged(); }));
+        m_context, m_platform.store.get(), &m_parts->gate, kind,
+        &m_parts->belief, [this]() { BeliefChanged(); }));
     boost::asio::co_spawn(*m_context, m_parts->followers.back()->Run(),
                           [](const std::exception_ptr& error) {
                             if (error) {
--- /dev/null
+++ b/src/libs/entry/retry_gate.cc
@@ -0,0 +1,33 @@
+#include "entry/retry_gate.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace poplarsail::entry {
+
+namespace asio = boost::asio;
+
+asio::awaitable<void> RetryGate::WaitToRetry(const void* caller,
+                                             std::chrono::milliseconds pause) {
+  const bool is_prober = m_prober == nullptr || m_prober == caller;
+  if (is_prober) {
+    m_prober = caller;
+  }
+  asio::steady_timer timer(*m_context, is_prober ? pause : kGateWait);
+  if (!is_prober) {
+    m_waiting.push_back(&timer);
+  }
+  boost::system::error_code cancelled;
+  co_await timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, cancelled));
+  std::erase(m_waiting, &timer);
+}
+
+void RetryGate::NoteSuccess() {
+  m_prober = nullptr;
+  for (asio::steady_timer* timer : m_waiting) {
+    timer->cancel();
+  }
+}
+
+}  // namespace poplarsail::entry
--- a/src/libs/entry/state_follower.cc
+++ b/src/libs/entry/state_follower.cc
@@ -24,10 +24,12 @@
 
 StateFollower::StateFollower(boost::asio::io_context* context,
                              StateStore* store,
+                             RetryGate* gate,
                              belief::Kind kind,
                              belief::Belief* belief,
                              std::function<void()> changed)
     : m_store(store),
+      m_gate(gate),
       m_kind(kind),
       m_belief(belief),
       m_changed(std::move(changed)),
@@ -54,8 +56,8 @@
     const auto longest =
         std::min<belief::milliseconds>(doubled, kLongestRetryPause);
     const int64_t half = longest.count() / 2;
-    co_await Pause(belief::milliseconds(
-        half + static_cast<int64_t>(m_random() % (half + 1))));
+    const auto jitter = static_cast<int64_t>(m_random() % (half + 1));
+    co_await m_gate->WaitToRetry(this, belief::milliseconds(half + jitter));
   }
 }
 
@@ -115,6 +117,7 @@
 }
 
 void StateFollower::NoteSuccess() {
+  m_gate->NoteSuccess();
   if (m_failures == 0) {
     return;
   }
--- a/src/libs/entry/state_follower.h
+++ b/src/libs/entry/state_follower.h
@@ -1,6 +1,7 @@
 #ifndef ENTRY_STATE_FOLLOWER_H_
 #define ENTRY_STATE_FOLLOWER_H_
 
+#include "entry/retry_gate.h"
 #include "entry/state_store.h"
 
 #include <boost/asio/io_context.hpp>
@@ -36,6 +37,7 @@
  public:
   StateFollower(boost::asio::io_context* context,
                 StateStore* store,
+                RetryGate* gate,
                 belief::Kind kind,
                 belief::Belief* belief,
                 std::function<void()> changed);
@@ -54,6 +56,7 @@
   void NoteSuccess();
 
   StateStore* m_store;
+  RetryGate* m_gate;
   belief::Kind m_kind;
   belief::Belief* m_belief;
   std::function<void()> m_changed;
--- a/tests/auto/entry/tst_state_follower.cc
+++ b/tests/auto/entry/tst_state_follower.cc
@@ -69,7 +69,7 @@
 
 struct FollowerFixture {
   FollowerFixture()
-      : follower(&context, &store, Kind::kUpstreams, &belief, [this]() {
+      : follower(&context, &store, &gate, Kind::kUpstreams, &belief, [this]() {
           ++changes;
         }) {}
 
@@ -84,6 +84,7 @@
   ScriptedStore store{&context};
   Belief belief;
   int changes = 0;
+  RetryGate gate{&context};
   StateFollower follower;
 };
 
@@ -154,5 +155,51 @@
   CHECK(fixture.store.watches == 3);
 }
 
+TEST_CASE("One caller finds out when the store is back, the others wait") {
+  boost::asio::io_context context;
+  RetryGate gate(&context);
+  std::string order;
+  const auto run_until = [&](size_t count) {
+    context.restart();
+    while (order.size() < count) {
+      REQUIRE(context.run_one() > 0);
+    }
+  };
+  const auto wait = [&](const std::string& name,
+                        std::chrono::milliseconds pause) {
+    boost::asio::co_spawn(
+        context, gate.WaitToRetry(&name, pause),
+        [&order, &name](const std::exception_ptr&) { order += name; });
+  };
+  const std::string a = "a";
+  const std::string b = "b";
+  const std::string c = "c";
+  wait(a, std::chrono::milliseconds(5));
+  wait(b, std::chrono::milliseconds(1));
+  wait(c, std::chrono::milliseconds(1));
+  run_until(1);
+  CHECK(order == "a");
+  SECTION("it fails and tries again first") {
+    wait(a, std::chrono::milliseconds(5));
+    run_until(2);
+    CHECK(order == "aa");
+  }
+  SECTION("it succeeds") {
+    gate.NoteSuccess();
+    run_until(3);
+    CHECK(order.find('b') != std::string::npos);
+    CHECK(order.find('c') != std::string::npos);
+    // The next one to fail finds out anew.
+    wait(b, std::chrono::milliseconds(1));
+    wait(a, std::chrono::milliseconds(1));
+    run_until(4);
+    CHECK(order.back() == 'b');
+  }
+  SECTION("it never comes back") {
+    run_until(3);
+    CHECK(order.size() == 3);
+  }
+}
+
 }  // namespace
 }  // namespace poplarsail::entry
