--- a/src/libs/belief/records.h
+++ b/src/libs/belief/records.h
@@ -74,8 +74,7 @@
   friend bool operator==(const Configuration&, const Configuration&) = default;
 };
 
-// A failure domain whose upstreams get no new flows and whose flows are given
-// up.
+// A failure domain whose upstreams get no new flows; open flows go on.
 struct TakeOut {
   std::string failure_domain;
 
--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -119,10 +119,10 @@
   m_is_expecting = true;
   m_expectation_timer.expires_at(*next + flows::kExpectationInterval);
   m_expectation_timer.async_wait([this](const boost::system::error_code&) {
-    m_is_expecting = false;
     // Answers that wait in the socket come first.
     TakePackets();
     CheckExpectations();
+    m_is_expecting = false;
     ScheduleExpectations();
   });
 }
--- a/src/tools/emulator/callers.cc
+++ b/src/tools/emulator/callers.cc
@@ -189,11 +189,8 @@
   flow->expiry = m_events->now() + life;
   m_flows[flow->key] = flow;
   SendOpening(flow, 0);
-  for (const auto& [delay, number] :
-       {std::pair(kFirstOpeningCopy, 1U), std::pair(kSecondOpeningCopy, 2U)}) {
-    m_events->After(delay,
-                    [this, flow, number]() { SendOpening(flow, number); });
-  }
+  m_events->After(kFirstOpeningCopy, [this, flow]() { SendOpening(flow, 1); });
+  m_events->After(kSecondOpeningCopy, [this, flow]() { SendOpening(flow, 2); });
   m_events->After(kOpeningTimeout, [this, flow]() {
     if (flow->state == FlowState::kOpening) {
       TakeReset(flow->key);
