--- a/src/app/observe_commands.cc
+++ b/src/app/observe_commands.cc
@@ -4,14 +4,17 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <map>
-#include <sstream>
+#include <thread>
+#include <vector>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include "app/commands.h"
 #include "app/explain_logs.h"
+#include "explain/explain.h"
 #include "model/model.h"
 
 namespace poplarsail::app {
@@ -56,22 +59,33 @@
   return {response.result_int(), response.body()};
 }
 
-// Reads `name{label="value"} count` lines of one metric.
-std::map<std::string, double> ReadCounters(const std::string& text,
-                                           const std::string& name) {
-  std::map<std::string, double> values;
-  std::istringstream lines(text);
-  for (std::string line; std::getline(lines, line);) {
-    if (!line.starts_with(name + "{")) {
-      continue;
-    }
-    const size_t open = line.find('"');
-    const size_t close = line.find('"', open + 1);
-    const size_t space = line.find("} ", close);
-    values[line.substr(open + 1, close - open - 1)] =
-        std::stod(line.substr(space + 2));
+// The daemons' counts, by address.
+using CountsByDaemon = std::map<std::string, explain::ServiceCounts>;
+
+CountsByDaemon ReadAllCounts(const std::vector<std::string>& daemons) {
+  CountsByDaemon counts;
+  for (const std::string& text : daemons) {
+    counts[text] =
+        explain::ReadServiceCounts(HttpGet(ParseAdmin(text), "/metrics").body);
+  }
+  return counts;
+}
+
+nlohmann::json MakeReport(const CountsByDaemon& before,
+                          const CountsByDaemon& after,
+                          double objective) {
+  nlohmann::json report = nlohmann::json::array();
+  for (const auto& [daemon, counts] : after) {
+    const auto earlier = before.find(daemon);
+    const explain::ServiceCounts window =
+        earlier == before.end() ? counts
+                                : explain::Between(earlier->second, counts);
+    report.push_back({{"daemon", daemon},
+                      {"answered", window.answered},
+                      {"refused", window.failed},
+                      {"burn", explain::BurnRate(window, objective)}});
   }
-  return values;
+  return report;
 }
 
 }  // namespace
@@ -116,7 +130,9 @@
   options->add_options()("admin", "Admin addresses of daemons, IP:PORT,...",
                          cxxopts::value<std::vector<std::string>>())(
       "objective", "Share of requests that must be answered",
-      cxxopts::value<double>()->default_value("0.999"));
+      cxxopts::value<double>()->default_value("0.999"))(
+      "window", "Seconds to watch; 0 tells all since the daemons' start",
+      cxxopts::value<uint32_t>()->default_value("0"));
 }
 
 int RunReport(const cxxopts::ParseResult& arguments) {
@@ -127,18 +143,15 @@
   if (objective <= 0 || objective >= 1) {
     throw UsageError("--objective must be above 0 and below 1.");
   }
-  nlohmann::json report = nlohmann::json::array();
-  for (const std::string& text :
-       arguments["admin"].as<std::vector<std::string>>()) {
-    const HttpReply reply = HttpGet(ParseAdmin(text), "/metrics");
-    auto counts = ReadCounters(reply.body, "poplarsail_requests_total");
-    const double ended = counts["answered"] + counts["refused"];
-    const double failed_share = ended > 0 ? counts["refused"] / ended : 0;
-    report.push_back({{"daemon", text},
-                      {"answered", counts["answered"]},
-                      {"refused", counts["refused"]},
-                      {"burn", failed_share / (1 - objective)}});
+  const auto daemons = arguments["admin"].as<std::vector<std::string>>();
+  const std::chrono::seconds window(arguments["window"].as<uint32_t>());
+  CountsByDaemon before;
+  if (window.count() > 0) {
+    before = ReadAllCounts(daemons);
+    std::this_thread::sleep_for(window);
   }
+  const nlohmann::json report =
+      MakeReport(before, ReadAllCounts(daemons), objective);
   if (WantsJson(arguments)) {
     fmt::print("{}\n", report.dump(2));
     return kExitSuccess;
--- a/tests/auto/explain/tst_explain.cc
+++ b/tests/auto/explain/tst_explain.cc
@@ -198,5 +198,31 @@
   CHECK(story.cause == Cause::kUpstreamDark);
 }
 
+TEST_CASE("Both daemons' counters tell what failed") {
+  CHECK(ReadServiceCounts(
+            "poplarsail_requests_total{outcome=\"answered\"} 90\n"
+            "poplarsail_requests_total{outcome=\"refused\"} 10\n") ==
+        ServiceCounts{90, 10});
+  CHECK(ReadServiceCounts(
+            "# HELP poplarsail_packets_total Packets.\n"
+            "poplarsail_packets_total{reason=\"placed\"} 50\n"
+            "poplarsail_packets_total{reason=\"tagged\"} 700\n"
+            "poplarsail_packets_total{reason=\"no-listener\"} 4\n"
+            "poplarsail_packets_total{reason=\"no-upstream\"} 2\n"
+            "poplarsail_packets_total{reason=\"upstream-dead\"} x\n"
+            "poplarsail_packets_total{reason=\"upstream-gone\"} 1\n") ==
+        ServiceCounts{50, 3});
+  CHECK(ReadServiceCounts("") == ServiceCounts{});
+}
+
+TEST_CASE("Burn compares failures with what the objective allows") {
+  CHECK(BurnRate({999, 1}, 0.999) == Approx(1));
+  CHECK(BurnRate({90, 10}, 0.99) == Approx(10));
+  CHECK(BurnRate({}, 0.99) == 0);
+  CHECK(Between({90, 10}, {100, 11}) == ServiceCounts{10, 1});
+  // The daemon started again between the two readings.
+  CHECK(Between({90, 10}, {5, 0}) == ServiceCounts{5, 0});
+}
+
 }  // namespace
 }  // namespace poplarsail::explain
