--- a/src/app/observe_commands.cc
+++ b/src/app/observe_commands.cc
@@ -132,7 +132,7 @@
       "objective", "Share of requests that must be answered",
       cxxopts::value<double>()->default_value("0.999"))(
       "window", "Seconds to watch; 0 tells all since the daemons' start",
-      cxxopts::value<uint32_t>()->default_value("0"));
+      cxxopts::value<double>()->default_value("0"));
 }
 
 int RunReport(const cxxopts::ParseResult& arguments) {
@@ -144,7 +144,10 @@
     throw UsageError("--objective must be above 0 and below 1.");
   }
   const auto daemons = arguments["admin"].as<std::vector<std::string>>();
-  const std::chrono::seconds window(arguments["window"].as<uint32_t>());
+  const std::chrono::duration<double> window(arguments["window"].as<double>());
+  if (window.count() < 0) {
+    throw UsageError("--window must not be below 0.");
+  }
   CountsByDaemon before;
   if (window.count() > 0) {
     before = ReadAllCounts(daemons);
