--- a/src/libs/explain/story.cc
+++ b/src/libs/explain/story.cc
@@ -17,6 +17,7 @@
 constexpr const char* kRefused = "flow refused";
 constexpr const char* kSilent = "upstream does not answer";
 constexpr const char* kAnswers = "upstream answers";
+constexpr const char* kStoodStill = "host stood still";
 // Upstreams of one failure domain that fall silent together are taken for a
 // trouble of the domain.
 constexpr size_t kSilentTogether = 2;
@@ -145,6 +146,9 @@
         return;
       }
     }
+    if (FindStall()) {
+      return;
+    }
     m_story.cause = Cause::kNothingFailed;
     m_story.summary =
         "the flow was placed and its upstream was not found silent; the "
@@ -216,6 +220,22 @@
     return true;
   }
 
+  // Whether a daemon that took part stood still meanwhile.
+  bool FindStall() {
+    for (const StoryLine& line : m_story.lines) {
+      const bool is_stall = line.line.message == kStoodStill &&
+                            m_hosts.contains(line.host) && IsInWindow(line);
+      if (is_stall) {
+        m_story.cause = Cause::kHostStalled;
+        m_story.summary = fmt::format(
+            "{} stood still until {}: packets that reached it waited",
+            line.host, FormatLogTime(line.time));
+        return true;
+      }
+    }
+    return false;
+  }
+
   void ExplainRefusal(const StoryLine& refusal) {
     static const std::map<std::string, std::pair<Cause, const char*>> kReasons =
         {{"no-upstream",
--- a/src/libs/explain/story.h
+++ b/src/libs/explain/story.h
@@ -36,6 +36,7 @@
   kUpstreamDark,
   kDomainCut,
   kDomainLost,
+  kHostStalled,
   kNoBelief,
   kNoUpstream,
   kNoListener,
--- a/tests/auto/explain/tst_explain.cc
+++ b/tests/auto/explain/tst_explain.cc
@@ -141,6 +141,12 @@
     expected = Cause::kNothingFailed;
     evidence = "was not found silent";
   }
+  SECTION("its host stood still") {
+    front += Line("00:12.600", "host stood still", "");
+    other += Line("00:11.000", "host stood still", "");
+    expected = Cause::kHostStalled;
+    evidence = "front-1 stood still until 2026-12-04T06:00:12.600Z";
+  }
   SECTION("nobody could take it") {
     front += Line("00:11.000", "flow refused",
                   "flow=" + kFlow + " reason=no-upstream upstream=none");
