--- a/src/libs/explain/story.cc
+++ b/src/libs/explain/story.cc
@@ -83,13 +83,15 @@
   }
 
  private:
+  bool IsOwn(const StoryLine& line) const {
+    return m_subject.flow.empty()
+               ? line.line.Value("upstream") == m_subject.upstream
+               : line.line.Value("flow") == m_subject.flow;
+  }
+
   void FindOwnLines() {
     for (const StoryLine& line : m_all) {
-      const bool is_own =
-          m_subject.flow.empty()
-              ? line.line.Value("upstream") == m_subject.upstream
-              : line.line.Value("flow") == m_subject.flow;
-      if (!is_own) {
+      if (!IsOwn(line)) {
         continue;
       }
       m_own.push_back(line);
@@ -114,10 +116,6 @@
 
   void CollectLines() {
     for (const StoryLine& line : m_all) {
-      const bool is_own =
-          m_subject.flow.empty()
-              ? line.line.Value("upstream") == m_subject.upstream
-              : line.line.Value("flow") == m_subject.flow;
       const bool is_about_upstream =
           line.line.message != kPlaced && line.line.message != kRefused &&
           m_upstreams.contains(line.line.Value("upstream"));
@@ -126,7 +124,7 @@
           IsAboutDaemon(line.line);
       const bool is_related =
           IsInWindow(line) && (is_about_upstream || is_about_daemon);
-      if (is_own || is_related) {
+      if (IsOwn(line) || is_related) {
         m_story.lines.push_back(line);
       }
     }
--- a/tests/auto/entry/tst_peer_exchange.cc
+++ b/tests/auto/entry/tst_peer_exchange.cc
@@ -38,10 +38,11 @@
 struct Host {
   Host(boost::asio::io_context* context,
        uint16_t port,
-       std::vector<model::Endpoint> seeds) {
+       std::vector<model::Endpoint> seeds,
+       const std::string& failure_domain = "regina") {
     PeerExchange::Options options;
     options.own_endpoint = Loopback(port);
-    options.failure_domain = "regina";
+    options.failure_domain = failure_domain;
     options.findings = Loopback(static_cast<uint16_t>(port ^ 1));
     options.seeds = std::move(seeds);
     options.is_store_lost = [this]() { return is_store_lost; };
@@ -102,6 +103,23 @@
   CHECK(second.fleet.neighbours.size() == 3);
 }
 
+TEST_CASE("A seed names a few hosts of each other failure domain") {
+  boost::asio::io_context context;
+  const uint16_t seed_port = FreePort(&context);
+  Host seed(&context, seed_port, {});
+  Complete(&seed.belief);
+  std::vector<std::unique_ptr<Host>> hosts;
+  for (const char* domain : {"brandon", "brandon", "brandon", "saskatoon"}) {
+    hosts.push_back(std::make_unique<Host>(
+        &context, FreePort(&context),
+        std::vector<model::Endpoint>{Loopback(seed_port)}, domain));
+    RunUntil(&context, [&]() { return hosts.back()->fleet.host_count > 0; });
+  }
+  // The seed itself and two of the three in brandon.
+  CHECK(hosts.back()->fleet.contacts.size() == 1 + kContactsPerDomain);
+  CHECK(hosts.back()->fleet.neighbours.size() == 1);
+}
+
 TEST_CASE("A host that lost its store hears of a newer configuration") {
   boost::asio::io_context context;
   const uint16_t seed_port = FreePort(&context);
