--- a/tests/auto/explain/tst_daemon_logs.cc
+++ b/tests/auto/explain/tst_daemon_logs.cc
@@ -1,5 +1,5 @@
-// Logs of a real daemon on loopback: nobody has to read them, and where one thing
-// is broken they tell the cause.
+// Logs of a real daemon on loopback: nobody has to read them, and where one
+// thing is broken they tell the cause.
 #include <catch2/catch.hpp>
 
 #include <fcntl.h>
@@ -11,7 +11,9 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -101,6 +103,10 @@
     return upstream;
   }
 
+  void WriteSettings(const std::string& text) const {
+    std::ofstream(m_directory / "front-regina-1.ini") << text;
+  }
+
   // The daemon's standard output becomes a pipe that nobody reads.
   void StickLog() {
     const std::string path = m_directory / "front-regina-1.log";
@@ -282,6 +288,22 @@
   CHECK(waiting > 32'768);
 }
 
+TEST_CASE("SIGHUP takes settings over, or says why not, and cuts nothing") {
+  Site site;
+  site.AddUpstream(1, "regina");
+  site.daemon().Start();
+  site.WaitForLine("ready");
+  site.OpenFlow();
+  site.daemon().Signal(SIGHUP);
+  site.WaitForLine("settings reloaded");
+  site.WriteSettings("[host]\nname = \n");
+  site.daemon().Signal(SIGHUP);
+  site.WaitForLine("settings refused, the old ones stay");
+  site.BeginFlow();
+  site.OpenFlow();
+  CHECK_FALSE(site.daemon().Reap());
+}
+
 TEST_CASE("An upstream that died is found from the logs") {
   Site site;
   site.AddUpstream(1, "regina");
