--- a/src/app/commands.cc
+++ b/src/app/commands.cc
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include "app/daemon_options.h"
 #include "app/object_commands.h"
 #include "app/observe_commands.h"
 #include "app/serve_command.h"
@@ -15,23 +16,9 @@
 
 namespace {
 
-void AddRunOptions(cxxopts::Options* options) {
-  options->add_options()("settings", "Settings file of this entry host (INI)",
-                         cxxopts::value<std::string>())(
-      "check", "Check the settings file and exit");
-}
-
 int RunDaemonCommand(const cxxopts::ParseResult& arguments) {
-  if (arguments.count("settings") == 0) {
-    throw UsageError("Give the settings file with --settings host.ini.");
-  }
-  const auto path = arguments["settings"].as<std::string>();
-  const model::Settings settings = model::LoadSettings(path);
-  if (arguments.count("check") > 0) {
-    fmt::print("{}: the settings are good\n", path);
-    return kExitSuccess;
-  }
-  return runtime::RunDaemon(settings);
+  const model::Settings settings = model::LoadSettings(SettingsPath(arguments));
+  return IsCheckOnly(arguments) ? kExitSuccess : runtime::RunDaemon(settings);
 }
 
 void PrintOverview() {
@@ -88,10 +75,10 @@
 
 const std::vector<Command>& Commands() {
   static const std::vector<Command> commands = {
-      {"run", "Run the daemon of one entry host", &AddRunOptions,
+      {"run", "Run the daemon of one entry host", &AddDaemonOptions,
        &RunDaemonCommand},
-      {"serve", "Run an entry host that steers flows by tags", &AddServeOptions,
-       &RunServe},
+      {"serve", "Run an entry host that steers flows by tags",
+       &AddDaemonOptions, &RunServe},
       {"apply", "Write the resources of a file", &AddApiOptions, &RunApply},
       {"get", "Show resources: get KIND [NAME]", &AddApiOptions, &RunGet},
       {"diff", "Compare a file with the stored resources", &AddApiOptions,
--- a/src/app/serve_command.h
+++ b/src/app/serve_command.h
@@ -5,7 +5,6 @@
 
 namespace poplarsail::app {
 
-void AddServeOptions(cxxopts::Options* options);
 int RunServe(const cxxopts::ParseResult& arguments);
 
 }  // namespace poplarsail::app
--- a/src/libs/entry/entry_settings.cc
+++ b/src/libs/entry/entry_settings.cc
@@ -61,8 +61,11 @@
                                  const std::string& source) {
   const model::SettingValues values =
       model::ParseSettingValues(text, source, EntrySettingKeys());
-  const auto endpoint = [&values](const char* key) {
-    return *model::ParseEndpoint(values.at(key));
+  const auto endpoint = [&values](const char* name) {
+    return model::EndpointSetting(values, name);
+  };
+  const auto number = [&values](const char* name) {
+    return model::NumberSetting(values, name);
   };
   EntrySettings settings;
   settings.host_name = values.at("host.name");
@@ -71,16 +74,13 @@
   settings.caller_port = settings.packets.port;
   settings.readiness = endpoint("readiness.endpoint");
   settings.peers = endpoint("peers.endpoint");
-  settings.findings_port =
-      static_cast<uint16_t>(std::stoi(values.at("peers.findings_port")));
+  settings.findings_port = static_cast<uint16_t>(number("peers.findings_port"));
   if (values.at("peers.seeds") != "none") {
     settings.seeds = ParseSeeds(values.at("peers.seeds"), source);
   }
   settings.store = endpoint("store.endpoint");
-  settings.metrics_port =
-      static_cast<uint16_t>(std::stoi(values.at("metrics.port")));
-  settings.linger =
-      std::chrono::milliseconds(std::stoll(values.at("stop.linger_ms")));
+  settings.metrics_port = static_cast<uint16_t>(number("metrics.port"));
+  settings.linger = std::chrono::milliseconds(number("stop.linger_ms"));
   return settings;
 }
 
--- a/src/libs/entry/http_responder.cc
+++ b/src/libs/entry/http_responder.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <sstream>
 #include <utility>
 
 namespace poplarsail::entry {
@@ -16,20 +15,6 @@
 // Connections without a request are closed after this time.
 constexpr std::chrono::seconds kIdleTimeout{30};
 
-// Splits "key=value&key=value".
-HttpQuery ParseQuery(const std::string& text) {
-  HttpQuery query;
-  std::istringstream stream(text);
-  std::string item;
-  while (std::getline(stream, item, '&')) {
-    const size_t equals = item.find('=');
-    if (equals != std::string::npos) {
-      query[item.substr(0, equals)] = item.substr(equals + 1);
-    }
-  }
-  return query;
-}
-
 }  // namespace
 
 struct HttpResponder::Connection {
@@ -95,7 +80,7 @@
     return {404, ""};
   }
   const size_t query = std::min(question + 1, target.size());
-  return found->second(ParseQuery(target.substr(query)));
+  return found->second(transport::ParseHttpQuery(target.substr(query)));
 }
 
 }  // namespace poplarsail::entry
--- a/src/libs/entry/http_responder.h
+++ b/src/libs/entry/http_responder.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "model/model.h"
+#include "transport/transport.h"
 
 namespace poplarsail::entry {
 
@@ -17,8 +18,7 @@
   std::string body;
 };
 
-// Values of the query by key.
-using HttpQuery = std::map<std::string, std::string>;
+using transport::HttpQuery;
 
 // Answers GET requests on one address, by path.
 class HttpResponder {
--- a/src/libs/entry/metrics.cc
+++ b/src/libs/entry/metrics.cc
@@ -60,6 +60,41 @@
                   by_reason);
 }
 
+// Counters without labels.
+std::vector<MetricFamily> CountersOf(const MetricSources& sources) {
+  struct Row {
+    const char* name;
+    const char* help;
+    uint64_t value;
+  };
+  const PacketCounts& packets = *sources.packets;
+  const Row rows[] = {
+      {"poplarsail_malformed_packets_total",
+       "Datagrams that are no whole packet.", packets.malformed},
+      {"poplarsail_stale_packets_total",
+       "Opening packets that waited while the host stood still.",
+       packets.stale},
+      {"poplarsail_upstream_checks_total",
+       "Connections made to see whether an upstream answers.", packets.checks},
+      {"poplarsail_failed_upstream_checks_total", "Checks without an answer.",
+       packets.failed_checks},
+      {"poplarsail_inconclusive_upstream_checks_total",
+       "Checks while this host got no answer from others either.",
+       packets.inconclusive_checks},
+      {"poplarsail_unsent_packets_total",
+       "Datagrams that the system did not take.", packets.unsent},
+      {"poplarsail_malformed_objects_total",
+       "Objects of the store that could not be used.",
+       sources.store->malformed_objects},
+  };
+  std::vector<MetricFamily> families;
+  for (const Row& row : rows) {
+    families.push_back(
+        Counter(row.name, row.help, static_cast<double>(row.value)));
+  }
+  return families;
+}
+
 }  // namespace
 
 std::string FormatMetrics(const MetricSources& sources) {
@@ -68,55 +103,36 @@
       belief.configuration()
           ? static_cast<double>(belief.configuration()->version)
           : 0.0;
-  const std::vector<MetricFamily> families = {
-      Decisions(*sources.packets),
-      Counter("poplarsail_malformed_packets_total",
-              "Datagrams that are no whole packet.",
-              static_cast<double>(sources.packets->malformed)),
-      Counter("poplarsail_stale_packets_total",
-              "Opening packets that waited while the host stood still.",
-              static_cast<double>(sources.packets->stale)),
-      Counter("poplarsail_upstream_checks_total",
-              "Connections made to see whether an upstream answers.",
-              static_cast<double>(sources.packets->checks)),
-      Counter("poplarsail_failed_upstream_checks_total",
-              "Checks without an answer.",
-              static_cast<double>(sources.packets->failed_checks)),
-      Counter("poplarsail_inconclusive_upstream_checks_total",
-              "Checks while this host got no answer from others either.",
-              static_cast<double>(sources.packets->inconclusive_checks)),
-      Counter("poplarsail_unsent_packets_total",
-              "Datagrams that the system did not take.",
-              static_cast<double>(sources.packets->unsent)),
-      Labelled("poplarsail_store_calls_total", "Calls to the store by outcome.",
-               "outcome",
-               {{"answered", sources.store->answered},
-                {"refused", sources.store->refused},
-                {"failed", sources.store->failed}}),
-      Counter("poplarsail_malformed_objects_total",
-              "Objects of the store that could not be used.",
-              static_cast<double>(sources.store->malformed_objects)),
-      Labelled("poplarsail_peer_questions_total",
-               "Questions to other entry hosts by outcome.", "outcome",
-               {{"newer", sources.peers->answered_newer},
-                {"failed", sources.peers->failed}}),
-      Labelled("poplarsail_whole_beliefs_total",
-               "Whole beliefs that other entry hosts asked for.", "outcome",
-               {{"sent", sources.peers->wholes_sent},
-                {"refused", sources.peers->wholes_refused}}),
-      sources.steering->opening_times().Collect(
-          "poplarsail_opening_seconds",
-          "From an opening packet to the first packet on the open flow."),
-      sources.steering->response_times().Collect(
-          "poplarsail_response_seconds",
-          "From a request's first packet to the first sign of its answer."),
+  std::vector<MetricFamily> families = CountersOf(sources);
+  families.push_back(Decisions(*sources.packets));
+  families.push_back(Labelled("poplarsail_store_calls_total",
+                              "Calls to the store by outcome.", "outcome",
+                              {{"answered", sources.store->answered},
+                               {"refused", sources.store->refused},
+                               {"failed", sources.store->failed}}));
+  families.push_back(Labelled("poplarsail_peer_questions_total",
+                              "Questions to other entry hosts by outcome.",
+                              "outcome",
+                              {{"newer", sources.peers->answered_newer},
+                               {"failed", sources.peers->failed}}));
+  families.push_back(Labelled("poplarsail_whole_beliefs_total",
+                              "Whole beliefs that other entry hosts asked for.",
+                              "outcome",
+                              {{"sent", sources.peers->wholes_sent},
+                               {"refused", sources.peers->wholes_refused}}));
+  families.push_back(sources.steering->opening_times().Collect(
+      "poplarsail_opening_seconds",
+      "From an opening packet to the first packet on the open flow."));
+  families.push_back(sources.steering->response_times().Collect(
+      "poplarsail_response_seconds",
+      "From a request's first packet to the first sign of its answer."));
+  families.push_back(
       Gauge("poplarsail_observed_flows", "Flows with a record.",
-            static_cast<double>(sources.steering->flow_table().size())),
-      Gauge("poplarsail_configuration_version",
-            "Version of the configuration in force.", version),
-      Gauge("poplarsail_upstreams", "Upstreams that are known.",
-            static_cast<double>(belief.upstreams().size())),
-  };
+            static_cast<double>(sources.steering->flow_table().size())));
+  families.push_back(Gauge("poplarsail_configuration_version",
+                           "Version of the configuration in force.", version));
+  families.push_back(Gauge("poplarsail_upstreams", "Upstreams that are known.",
+                           static_cast<double>(belief.upstreams().size())));
   return prometheus::TextSerializer().Serialize(families);
 }
 
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -75,7 +75,7 @@
     Attach(flow, chosen);
     flow->last_packet = now;
     flow->waiting_since = now;
-    SetWaiting(flow, true);
+    SetWaiting(flow, chosen, true);
     flow->is_counted = false;
     flow->sequence_end = packet.sequence + 1;
   }
@@ -89,8 +89,10 @@
   if (upstream == nullptr) {
     return DecideUntagged(packet, now);
   }
-  upstream = PinnedUpstream(packet, upstream);
-  const bool expects_answer = Observe(packet, upstream, now);
+  FlowRecord* flow = m_flows.FindOrCreate(packet.key);
+  upstream = PinnedUpstream(packet, flow, upstream);
+  const bool expects_answer =
+      flow != nullptr && Observe(packet, flow, upstream, now);
   if (IsPresumedDead(*upstream, now) && !packet.is_reset) {
     return {Action::kReset, Reason::kUpstreamDead, upstream};
   }
@@ -98,11 +100,12 @@
           MakeTag(listener, upstream->tag_base), expects_answer};
 }
 
-Upstream* Steering::PinnedUpstream(const FlowPacket& packet, Upstream* tagged) {
+Upstream* Steering::PinnedUpstream(const FlowPacket& packet,
+                                   const FlowRecord* flow,
+                                   Upstream* tagged) {
   // Several upstreams may have answered copies of one opening packet, the last
   // of them seconds later from a host that was frozen. The flow is open at the
   // one whose tag came back first; a caller repeats the tag that came last.
-  FlowRecord* flow = m_flows.Find(packet.key);
   if (flow == nullptr || !flow->is_open ||
       tagged->record.id == flow->upstream_id) {
     return tagged;
@@ -168,12 +171,9 @@
 }
 
 bool Steering::Observe(const FlowPacket& packet,
+                       FlowRecord* flow,
                        Upstream* upstream,
                        SteadyTime now) {
-  FlowRecord* flow = m_flows.FindOrCreate(packet.key);
-  if (flow == nullptr) {
-    return false;
-  }
   const bool is_first = flow->upstream_id != upstream->record.id;
   if (is_first) {
     Release(*flow);
@@ -192,14 +192,14 @@
                     packet.acknowledged != flow->acknowledged);
   if (is_answer) {
     CountAnswered(*flow, upstream, now);
-    SetWaiting(flow, false);
+    SetWaiting(flow, upstream, false);
   }
   const bool has_new_data =
       packet.data_bytes > 0 &&
       (!flow->is_open || static_cast<int32_t>(end - flow->sequence_end) > 0);
   if (has_new_data) {
     flow->sequence_end = end;
-    SetWaiting(flow, true);
+    SetWaiting(flow, upstream, true);
     flow->is_counted = false;
     flow->waiting_since = now;
   } else if (packet.data_bytes > 0 && flow->is_waiting) {
@@ -386,14 +386,16 @@
   return control;
 }
 
-void Steering::SetWaiting(FlowRecord* flow, bool is_waiting) {
+void Steering::SetWaiting(FlowRecord* flow,
+                          Upstream* upstream,
+                          bool is_waiting) {
   if (std::exchange(flow->is_waiting, is_waiting) == is_waiting) {
     return;
   }
-  Upstream* upstream = m_directory.FindUpstream(flow->upstream_id);
-  if (upstream != nullptr && is_waiting) {
+  if (is_waiting) {
     ++upstream->waiting_flows;
-  } else if (upstream != nullptr && upstream->waiting_flows > 0) {
+  } else if (upstream->waiting_flows > 0) {
+    // An upstream that started again counts anew.
     --upstream->waiting_flows;
   }
 }
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -144,15 +144,21 @@
   const Service* ChooseService(const FlowPacket& packet,
                                const Listener& listener) const;
   // Returns whether the packet begins to wait for an answer.
-  bool Observe(const FlowPacket& packet, Upstream* upstream, SteadyTime now);
-  Upstream* PinnedUpstream(const FlowPacket& packet, Upstream* tagged);
+  bool Observe(const FlowPacket& packet,
+               FlowRecord* flow,
+               Upstream* upstream,
+               SteadyTime now);
+  Upstream* PinnedUpstream(const FlowPacket& packet,
+                           const FlowRecord* flow,
+                           Upstream* tagged);
   bool StartCheck(Upstream* upstream, SteadyTime now);
   void CountUnanswered(FlowRecord* flow, SteadyTime now);
   void CountAnswered(const FlowRecord& flow,
                      Upstream* upstream,
                      SteadyTime now);
   bool IsPresumedDead(const Upstream& upstream, SteadyTime now) const;
-  void SetWaiting(FlowRecord* flow, bool is_waiting);
+  // `upstream` is the flow's.
+  static void SetWaiting(FlowRecord* flow, Upstream* upstream, bool is_waiting);
   void Release(const FlowRecord& flow);
   void Attach(FlowRecord* flow, Upstream* upstream);
 
--- a/src/libs/model/settings.cc
+++ b/src/libs/model/settings.cc
@@ -159,6 +159,14 @@
   return CheckedValues(tree, source, keys);
 }
 
+int64_t NumberSetting(const SettingValues& values, const std::string& name) {
+  return std::stoll(values.at(name));
+}
+
+Endpoint EndpointSetting(const SettingValues& values, const std::string& name) {
+  return *ParseEndpoint(values.at(name));
+}
+
 std::string ReadSettingsFile(const std::string& path) {
   std::ifstream file(path);
   if (!file) {
@@ -172,7 +180,7 @@
 Settings ParseSettings(const std::string& text, const std::string& source) {
   const SettingValues values = ParseSettingValues(text, source, SettingKeys());
   const auto number = [&values](const char* name) {
-    return std::stoll(values.at(name));
+    return NumberSetting(values, name);
   };
   Settings settings;
   settings.host_name = values.at("host.name");
@@ -185,7 +193,7 @@
   settings.membership_port = number("membership.port");
   settings.request_port = number("requests.port");
   settings.admin_port = number("admin.port");
-  settings.object_api = *ParseEndpoint(values.at("objects.endpoint"));
+  settings.object_api = EndpointSetting(values, "objects.endpoint");
   settings.announce_ms = number("control.announce_ms");
   settings.leave_ms = number("control.leave_ms");
   settings.stop_grace_ms = number("stop.grace_ms");
--- a/src/libs/model/settings.h
+++ b/src/libs/model/settings.h
@@ -36,6 +36,10 @@
                                  const std::string& source,
                                  const std::vector<SettingKey>& keys);
 
+// The values of keys whose types the table states.
+int64_t NumberSetting(const SettingValues& values, const std::string& name);
+Endpoint EndpointSetting(const SettingValues& values, const std::string& name);
+
 // Returns the text of the file. Throws ValidationError.
 std::string ReadSettingsFile(const std::string& path);
 
--- a/src/libs/runtime/admin_duty.cc
+++ b/src/libs/runtime/admin_duty.cc
@@ -2,13 +2,14 @@
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <map>
 #include <utility>
 
 #include <fmt/format.h>
 #include <prometheus/text_serializer.h>
 #include <nlohmann/json.hpp>
 
+#include "transport/transport.h"
+
 namespace poplarsail::runtime {
 
 namespace {
@@ -20,23 +21,6 @@
 constexpr std::chrono::milliseconds kExplainTimeout{1'000};
 constexpr std::chrono::milliseconds kRunSlice{50};
 
-// Splits "a=1&b=2".
-std::map<std::string, std::string> ParseQuery(const std::string& query) {
-  std::map<std::string, std::string> values;
-  size_t start = 0;
-  while (start < query.size()) {
-    size_t end = query.find('&', start);
-    end = end == std::string::npos ? query.size() : end;
-    const std::string item = query.substr(start, end - start);
-    const size_t equals = item.find('=');
-    if (equals != std::string::npos) {
-      values[item.substr(0, equals)] = item.substr(equals + 1);
-    }
-    start = end + 1;
-  }
-  return values;
-}
-
 // One connection with one request.
 struct Exchange : std::enable_shared_from_this<Exchange> {
   explicit Exchange(boost::asio::ip::tcp::socket socket)
@@ -125,7 +109,7 @@
 }
 
 AdminDuty::Reply AdminDuty::Explain(const std::string& query) {
-  auto values = ParseQuery(query);
+  auto values = transport::ParseHttpQuery(query);
   const auto source = model::ParseEndpoint(values["source"]);
   const auto destination = model::ParseEndpoint(values["destination"]);
   if (!source || !destination) {
--- a/src/tools/emulator/host_model.h
+++ b/src/tools/emulator/host_model.h
@@ -34,7 +34,6 @@
             Links links);
 
   const std::string& failure_domain() const { return m_failure_domain; }
-  const flows::Steering& steering() const { return m_steering; }
 
   void Update(const belief::Belief& belief);
   void Receive(const flows::FlowPacket& packet);
--- a/src/tools/emulator/main.cc
+++ b/src/tools/emulator/main.cc
@@ -27,42 +27,57 @@
   Report report;
 };
 
+// One figure of a report, as a column of the table and a key of the JSON.
+struct Column {
+  const char* title;
+  const char* key;
+  int decimals;
+  double (*value)(const Report& report);
+};
+
+constexpr Column kColumns[] = {
+    {"served", "served", 3, [](const Report& r) { return r.served; }},
+    {"window", "worst_window", 3,
+     [](const Report& r) { return r.worst_window; }},
+    {"domain", "worst_domain", 3,
+     [](const Report& r) { return r.worst_domain; }},
+    {"kind", "worst_kind", 3, [](const Report& r) { return r.worst_kind; }},
+    {"tries", "tries_a_request", 2,
+     [](const Report& r) { return r.tries_a_request; }},
+    {"p99 ms", "p99_ms", 0, [](const Report& r) { return r.p99_ms; }},
+    {"imbalance", "imbalance", 2, [](const Report& r) { return r.imbalance; }},
+    {"goodput", "goodput", 2, [](const Report& r) { return r.goodput; }},
+    {"crash ms", "last_flow_after_crash_ms", 0,
+     [](const Report& r) { return r.last_flow_after_crash_ms; }},
+};
+
 void PrintTable(const std::vector<Result>& results) {
-  fmt::print(
-      "{:<13} {:<15} {:>8} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>9} {:>7} "
-      "{:>9}\n",
-      "scenario", "placement", "requests", "served", "window", "domain", "kind",
-      "tries", "p99 ms", "imbalance", "goodput", "crash ms");
+  fmt::print("{:<13} {:<15} {:>8}", "scenario", "placement", "requests");
+  for (const Column& column : kColumns) {
+    fmt::print(" {:>9}", column.title);
+  }
+  fmt::print("\n");
   for (const Result& result : results) {
-    const Report& report = result.report;
-    fmt::print(
-        "{:<13} {:<15} {:>8} {:>6.3f} {:>6.3f} {:>6.3f} {:>6.3f} {:>6.2f} "
-        "{:>6.0f} {:>9.2f} {:>7.2f} {:>9.0f}\n",
-        result.scenario, result.way, report.requests, report.served,
-        report.worst_window, report.worst_domain, report.worst_kind,
-        report.tries_a_request, report.p99_ms, report.imbalance, report.goodput,
-        report.last_flow_after_crash_ms);
+    fmt::print("{:<13} {:<15} {:>8}", result.scenario, result.way,
+               result.report.requests);
+    for (const Column& column : kColumns) {
+      fmt::print(" {:>9.{}f}", column.value(result.report), column.decimals);
+    }
+    fmt::print("\n");
   }
 }
 
 void PrintJson(const std::vector<Result>& results) {
   json rows = json::array();
   for (const Result& result : results) {
-    const Report& report = result.report;
-    rows.push_back(
-        {{"scenario", result.scenario},
-         {"placement", result.way},
-         {"requests", report.requests},
-         {"served", report.served},
-         {"worst_window", report.worst_window},
-         {"worst_domain", report.worst_domain},
-         {"worst_kind", report.worst_kind},
-         {"tries_a_request", report.tries_a_request},
-         {"p99_ms", report.p99_ms},
-         {"imbalance", report.imbalance},
-         {"goodput", report.goodput},
-         {"last_flow_after_crash_ms", report.last_flow_after_crash_ms},
-         {"by_window", report.by_window}});
+    json row = {{"scenario", result.scenario},
+                {"placement", result.way},
+                {"requests", result.report.requests},
+                {"by_window", result.report.by_window}};
+    for (const Column& column : kColumns) {
+      row[column.key] = column.value(result.report);
+    }
+    rows.push_back(std::move(row));
   }
   fmt::print("{}\n", rows.dump(2));
 }
--- a/src/tools/emulator/upstream_model.h
+++ b/src/tools/emulator/upstream_model.h
@@ -29,7 +29,6 @@
   bool is_alive() const { return m_is_alive; }
   // Requests that were run.
   uint64_t runs() const { return m_runs; }
-  size_t load() const { return m_busy + m_waiting.size(); }
 
   // Stops without a word; what it works on is lost.
   void Crash();
--- a/tests/auto/flows/tst_liveness.cc
+++ b/tests/auto/flows/tst_liveness.cc
@@ -62,7 +62,7 @@
 
 TEST_CASE("A connection alone does not bring back new flows") {
   // Load pattern: the store is away, an upstream ended and another one has its
-  // address (replace_with_reuse on the bench): it takes connections, but no
+  // address: it takes connections, but no
   // flows.
   Liveness liveness;
   liveness.RecordFailedCheck(kStart);
--- a/tests/auto/flows/tst_placement.cc
+++ b/tests/auto/flows/tst_placement.cc
@@ -112,7 +112,7 @@
 }
 
 TEST_CASE("An upstream that returns carries the flows that it lost") {
-  // Load pattern: upstreams that fail by turns (srv_flap on the bench).
+  // Load pattern: upstreams that fail by turns.
   FlowFixture fixture;
   fixture.AddUpstream(1);
   fixture.AddUpstream(2);
