Let a refused connection end no flow

Cause: a stopping upstream closes its listening socket before it ends its open flows.

A refusal shows that no new flow can be opened and that the machine is up. New flows avoid the upstream and peers are told; its flows are left alone, since the machine's own stack resets those that have ended. Only silence brings our reset.

Ruled out: that flows of a crashed upstream then wait for their clients.

The soak's crashed upstreams now reset flows like a machine that is up. explain says what a refusal shows.

--- a/soak/scenario_faults.cc
+++ b/soak/scenario_faults.cc
@@ -134,7 +134,8 @@
   const std::string name = upstream->name();
   const std::string new_service =
       options.service == "tally" ? "archive" : "tally";
-  RunAfter(kAddressReuseDelay, [this, options, new_service, name]() {
+  RunAfter(kAddressReuseDelay, [this, upstream, options, new_service, name]() {
+    upstream->ReleaseAddress();
     AddUpstream(new_service, options.failure_domain, options.endpoint);
     AddUpstream(options.service, options.failure_domain, {});
     m_store->Remove("servers", name);
--- a/soak/upstream.cc
+++ b/soak/upstream.cc
@@ -50,10 +50,14 @@
   m_is_running = false;
   m_flows.clear();
   boost::system::error_code ignored;
-  m_socket.close(ignored);
   m_acceptor.close(ignored);
 }
 
+void Upstream::ReleaseAddress() {
+  boost::system::error_code ignored;
+  m_socket.close(ignored);
+}
+
 void Upstream::Isolate() {
   m_is_isolated = true;
   m_acceptor.cancel();
@@ -83,7 +87,7 @@
   m_socket.async_receive_from(
       boost::asio::buffer(m_buffer), m_sender,
       [this](const boost::system::error_code& error, size_t size) {
-        if (error == boost::asio::error::operation_aborted || !m_is_running) {
+        if (error == boost::asio::error::operation_aborted) {
           return;
         }
         const bool is_received =
@@ -110,7 +114,7 @@
   }
   const FlowId id{packet->source, packet->destination};
   m_echoes[id] = packet->echo;
-  if (packet->syn) {
+  if (packet->syn && m_is_running) {
     const bool is_new = !m_flows.contains(id);
     Flow& flow = m_flows[id];
     if (is_new) {
--- a/soak/upstream.h
+++ b/soak/upstream.h
@@ -53,8 +53,11 @@
            ExecutionCounter* executions,
            Violations* violations);
 
-  // Simulates a crash: drops all flows and closes the sockets.
+  // Simulates a crash: drops all flows and refuses connections. The machine
+  // stays up and resets the flows that packets arrive for.
   void Crash();
+  // Frees the address of a crashed upstream for another one.
+  void ReleaseAddress();
   // Simulates network isolation: the upstream keeps running, but ignores
   // packets and leaves connection attempts unanswered.
   void Isolate();
--- a/src/libs/entry/metrics.cc
+++ b/src/libs/entry/metrics.cc
@@ -78,8 +78,9 @@
       {"poplarsail_upstream_checks_total",
        "Checks of upstreams by opening a connection.", packets.checks},
       {"poplarsail_failed_upstream_checks_total",
-       "Upstream checks in which no connection was established.",
-       packets.failed_checks},
+       "Upstream checks without a response.", packets.failed_checks},
+      {"poplarsail_refused_upstream_checks_total",
+       "Upstream checks whose connection was refused.", packets.refused_checks},
       {"poplarsail_inconclusive_upstream_checks_total",
        "Upstream checks without a result because this host did not receive "
        "responses in time.",
--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include <fmt/format.h>
@@ -43,6 +44,44 @@
         std::to_string(upstream == nullptr ? 0 : upstream->open_flows)}});
 }
 
+// `result` is not kInconclusive.
+flows::CheckOutcome ToOutcome(CheckResult result) {
+  switch (result) {
+    case CheckResult::kConnected:
+      return flows::CheckOutcome::kConnected;
+    case CheckResult::kRefused:
+      return flows::CheckOutcome::kRefused;
+    case CheckResult::kNoResponse:
+    case CheckResult::kInconclusive:
+      break;
+  }
+  return flows::CheckOutcome::kNoResponse;
+}
+
+std::string_view MessageOf(flows::CheckOutcome outcome) {
+  switch (outcome) {
+    case flows::CheckOutcome::kConnected:
+      return "upstream answers";
+    case flows::CheckOutcome::kRefused:
+      return "upstream refuses connections";
+    case flows::CheckOutcome::kNoResponse:
+      break;
+  }
+  return "upstream does not answer";
+}
+
+std::string_view ConnectionLabel(flows::CheckOutcome outcome) {
+  switch (outcome) {
+    case flows::CheckOutcome::kConnected:
+      return "made";
+    case flows::CheckOutcome::kRefused:
+      return "refused";
+    case flows::CheckOutcome::kNoResponse:
+      break;
+  }
+  return "silent";
+}
+
 }  // namespace
 
 PacketLoop::PacketLoop(boost::asio::io_context* context,
@@ -169,7 +208,7 @@
          {"reason", "this host does not receive responses in time"}});
     return;
   }
-  const bool is_alive = result == CheckResult::kConnected;
+  const flows::CheckOutcome outcome = ToOutcome(result);
   const auto now = std::chrono::steady_clock::now();
   const flows::Upstream* upstream =
       m_steering->routing_table().FindUpstream(upstream_id);
@@ -177,20 +216,23 @@
                                    ? flows::Health::kHealthy
                                    : upstream->liveness.health(now);
   const flows::CheckResultDecision decision =
-      m_steering->HandleCheckResult(upstream_id, is_alive, now);
-  m_counts.failed_checks += is_alive ? 0 : 1;
-  const flows::Health expected =
-      is_alive ? flows::Health::kHealthy : flows::Health::kPresumedDead;
-  if (health != expected || !decision.flows_to_reset.empty()) {
+      m_steering->HandleCheckResult(upstream_id, outcome, now);
+  m_counts.failed_checks += outcome == flows::CheckOutcome::kNoResponse ? 1 : 0;
+  m_counts.refused_checks += outcome == flows::CheckOutcome::kRefused ? 1 : 0;
+  const flows::Health expected = outcome == flows::CheckOutcome::kNoResponse
+                                     ? flows::Health::kPresumedDead
+                                     : flows::Health::kHealthy;
+  const bool is_logged = health != expected ||
+                         !decision.flows_to_reset.empty() ||
+                         (outcome == flows::CheckOutcome::kRefused &&
+                          decision.should_notify_peers);
+  if (is_logged) {
     telemetry::Log(
-        telemetry::LogLevel::kInfo, "packets",
-        is_alive ? "upstream answers" : "upstream does not answer",
+        telemetry::LogLevel::kInfo, "packets", std::string(MessageOf(outcome)),
         {{"upstream", fmt::format("{:x}", upstream_id)},
          {"domain",
           upstream == nullptr ? "none" : upstream->record.failure_domain},
-         {"connection", result == CheckResult::kRefused
-                            ? "refused"
-                            : (is_alive ? "made" : "silent")},
+         {"connection", std::string(ConnectionLabel(outcome))},
          {"flows_ended", std::to_string(decision.flows_to_reset.size())}});
   }
   for (const flows::FlowPacket& packet : decision.flows_to_reset) {
--- a/src/libs/entry/packet_loop.h
+++ b/src/libs/entry/packet_loop.h
@@ -38,6 +38,7 @@
   uint64_t unsent = 0;
   uint64_t checks = 0;
   uint64_t failed_checks = 0;
+  uint64_t refused_checks = 0;
   uint64_t inconclusive_checks = 0;
 };
 
--- a/src/libs/explain/diagnosis.cc
+++ b/src/libs/explain/diagnosis.cc
@@ -16,6 +16,7 @@
 constexpr const char* kFlowPlaced = "flow placed";
 constexpr const char* kFlowRefused = "flow refused";
 constexpr const char* kUpstreamSilent = "upstream does not answer";
+constexpr const char* kUpstreamRefuses = "upstream refuses connections";
 constexpr const char* kUpstreamAnswers = "upstream answers";
 constexpr const char* kHostStall = "host stood still";
 // When at least this many upstreams of one failure domain stop responding, the
@@ -160,7 +161,7 @@
         "upstream's own log";
   }
 
-  // Returns the reports of unresponsive upstreams that fall into the time
+  // Returns the reports of failed checks of upstreams that fall into the time
   // window or were still valid when it began. Earlier reports count because
   // each host logs an unresponsive upstream only once, until the upstream
   // answers again.
@@ -171,7 +172,8 @@
       if (entry.time > m_window_end) {
         break;
       }
-      if (entry.line.message == kUpstreamSilent) {
+      if (entry.line.message == kUpstreamSilent ||
+          entry.line.message == kUpstreamRefuses) {
         silent.try_emplace(key, &entry);
       } else if (entry.line.message == kUpstreamAnswers &&
                  entry.time < m_window_begin) {
@@ -195,8 +197,8 @@
     const TimelineEntry* first = nullptr;
     for (const TimelineEntry* entry : SilencesInWindow()) {
       const std::string domain = entry->line.Value("domain");
-      // A refused connection shows that the process failed but that its host is
-      // reachable, so it is no evidence of a failure of the domain.
+      // A refused connection shows that the upstream's host is reachable, so it
+      // is no evidence of a failure of the domain.
       if (entry->line.Value("connection") == "silent") {
         silent_by_domain[domain].insert(entry->line.Value("upstream"));
         hosts_by_domain[domain].insert(m_domain_by_host[entry->host]);
@@ -208,6 +210,15 @@
     if (first == nullptr) {
       return false;
     }
+    if (first->line.Value("connection") == "refused") {
+      m_diagnosis.cause = Cause::kUpstreamRefusing;
+      m_diagnosis.summary = fmt::format(
+          "the upstream had stopped or was stopping, its machine was up: {} "
+          "found that upstream {} refused connections at {}",
+          first->host, first->line.Value("upstream"),
+          FormatLogTime(first->time));
+      return true;
+    }
     const std::string domain = first->line.Value("domain");
     const std::set<std::string>& silent = silent_by_domain[domain];
     const std::string evidence =
--- a/src/libs/explain/diagnosis.h
+++ b/src/libs/explain/diagnosis.h
@@ -35,6 +35,8 @@
   kUnknown,
   kNoFailureFound,
   kUpstreamUnresponsive,
+  // The upstream refused connections while its machine was up.
+  kUpstreamRefusing,
   kDomainPartitioned,
   kDomainDown,
   kHostStalled,
--- a/src/libs/flows/liveness.cc
+++ b/src/libs/flows/liveness.cc
@@ -17,6 +17,12 @@
   m_next_trial = had_timeouts ? now : m_next_trial;
 }
 
+void Liveness::RecordRefusal(SteadyTime now) {
+  m_timeouts = 0;
+  m_syn_timeouts = std::max(m_syn_timeouts, kSuspectThreshold);
+  m_next_trial = now + kTrialDelay;
+}
+
 void Liveness::RecordSynTimeout(SteadyTime now) {
   ++m_syn_timeouts;
   m_next_trial = now + kTrialDelay;
--- a/src/libs/flows/liveness.h
+++ b/src/libs/flows/liveness.h
@@ -31,6 +31,15 @@
 
 enum class Health : uint8_t { kHealthy, kSuspect, kPresumedDead };
 
+// What a check of an upstream by a connection showed.
+enum class CheckOutcome : uint8_t {
+  kConnected,
+  // The upstream's machine is up, but no new flow can be opened. An upstream
+  // that stops closes its listening socket before it ends its open flows.
+  kRefused,
+  kNoResponse,
+};
+
 // Judges from traffic and checks whether an upstream still responds.
 class Liveness {
  public:
@@ -42,6 +51,10 @@
   // therefore try it one at a time.
   void RecordConnection(SteadyTime now);
 
+  // The upstream refused a connection. New flows avoid it. Its machine is up
+  // and resets flows that have ended by itself, so open flows are left alone.
+  void RecordRefusal(SteadyTime now);
+
   // A SYN had no response until `now`. Upstreams respond to a SYN even if they
   // are overloaded.
   void RecordSynTimeout(SteadyTime now);
@@ -53,7 +66,7 @@
   // suspect until this host's own observations decide.
   void RecordPeerReport(SteadyTime now);
 
-  // A check, which does not depend on packets of flows, failed.
+  // A check, which does not depend on packets of flows, got no response.
   void RecordFailedCheck(SteadyTime now);
 
   Health health(SteadyTime now) const;
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -306,16 +306,23 @@
 }
 
 CheckResultDecision Steering::HandleCheckResult(uint64_t upstream_id,
-                                                bool is_alive,
+                                                CheckOutcome outcome,
                                                 SteadyTime now) {
   Upstream* upstream = m_routing_table.FindUpstream(upstream_id);
   if (upstream == nullptr) {
     return {};
   }
-  if (is_alive) {
+  if (outcome == CheckOutcome::kConnected) {
     upstream->liveness.RecordConnection(now);
     return {};
   }
+  if (outcome == CheckOutcome::kRefused) {
+    CheckResultDecision refused;
+    refused.should_notify_peers = !upstream->is_check_peer_initiated &&
+                                  upstream->liveness.AllowsAttempt(now);
+    upstream->liveness.RecordRefusal(now);
+    return refused;
+  }
   const bool has_responded_since =
       upstream->liveness.last_response() >= upstream->check_started;
   if (has_responded_since) {
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -104,11 +104,11 @@
   ResponseTimeoutDecision DecideOnTimeout(const FlowPacket& packet,
                                           SteadyTime now);
 
-  // Applies the result of a check. If the check failed, idle flows are reset as
-  // well: clients keep flows idle, and the next request on one would be lost.
-  // After a reset the client opens a new flow for it.
+  // Applies the result of a check. If there was no response, idle flows are
+  // reset as well: clients keep flows idle, and the next request on one would
+  // be lost. After a reset the client opens a new flow for it.
   CheckResultDecision HandleCheckResult(uint64_t upstream_id,
-                                        bool is_alive,
+                                        CheckOutcome outcome,
                                         SteadyTime now);
 
   // Returns the upstream other than `checked` that responded last, or nullptr
--- a/src/tools/emulator/host_model.cc
+++ b/src/tools/emulator/host_model.cc
@@ -72,8 +72,11 @@
     if (m_is_stopped) {
       return;
     }
-    const flows::CheckResultDecision decision =
-        m_steering.HandleCheckResult(upstream_id, is_alive, m_events->now());
+    const flows::CheckResultDecision decision = m_steering.HandleCheckResult(
+        upstream_id,
+        is_alive ? flows::CheckOutcome::kConnected
+                 : flows::CheckOutcome::kNoResponse,
+        m_events->now());
     for (const flows::FlowPacket& packet : decision.flows_to_reset) {
       m_callbacks.reset_client(packet);
     }
--- a/tests/auto/explain/tst_explain.cc
+++ b/tests/auto/explain/tst_explain.cc
@@ -116,6 +116,15 @@
     expected = Cause::kUpstreamUnresponsive;
     evidence = "front-1 found upstream a1 silent at 2026-12-04T06:00:10.200Z";
   }
+  SECTION("upstream stopped, its machine is up") {
+    front += Line("00:10.200", "upstream refuses connections",
+                  "upstream=a1 domain=brandon connection=refused "
+                  "flows_ended=0");
+    expected = Cause::kUpstreamRefusing;
+    evidence =
+        "its machine was up: front-1 found that upstream a1 refused "
+        "connections at 2026-12-04T06:00:10.200Z";
+  }
   SECTION("failure domain of the upstream partitioned") {
     front += Silent("00:10.200", "a1") + Silent("00:10.300", "a2");
     expected = Cause::kDomainPartitioned;
