Wait longer in watches, list stale data first, notice the store's return

Three causes around the calls to the store, the largest price on large fleets:

- Watches ended after 3 s on all deployments.
They now last as long as the bounds of the deployment allow (4.5 to 9.5 s), and are farther apart.
- Each start listed three kinds at full price.
Only the smallest kind is now listed as latest data; the others may be stale, and are listed again if they are older.
After compaction the latest data is listed.
- While the store was lost, a watch waited for changes.
Now such a watch returns at once.

--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -75,6 +75,8 @@
   HttpServer metrics;
   // Shared by all store watchers.
   RetryGate retry_gate;
+  // Shared by all store watchers.
+  RevisionFloor revision_floor;
   FailureReportChannel failure_reports;
   std::vector<std::unique_ptr<StoreWatcher>> store_watchers;
   std::unique_ptr<PeerExchange> peer_exchange;
@@ -170,7 +172,9 @@
       cluster_state::ObjectKind::kEvacuations};
   for (const cluster_state::ObjectKind kind : kWatchedKinds) {
     m_components->store_watchers.push_back(std::make_unique<StoreWatcher>(
-        m_context, m_platform.store.get(), &m_components->retry_gate, kind,
+        m_context, m_platform.store.get(), &m_components->retry_gate,
+        &m_components->revision_floor, kind,
+        ComputeWatchTiming(m_settings.bounds, kind),
         &m_components->cluster_state, [this]() { OnClusterStateChange(); }));
     boost::asio::co_spawn(*m_context,
                           m_components->store_watchers.back()->Run(),
--- a/src/libs/entry/entry_settings.cc
+++ b/src/libs/entry/entry_settings.cc
@@ -48,6 +48,17 @@
        "commas; \"none\" for no hosts."},
       {"store", "endpoint", Type::kEndpoint, "", 0, 0,
        "Address and port of the platform's store."},
+      {"store", "detect_silence_ms", Type::kNumber, "4000", 1'000, 3'600'000,
+       "Milliseconds after which a connection to the store that went silent "
+       "has to be replaced; the bounds below count from then."},
+      {"store", "configuration_ms", Type::kNumber, "3000", 1'000, 3'600'000,
+       "Milliseconds within which an accepted configuration has to be in "
+       "force."},
+      {"store", "drain_ms", Type::kNumber, "3000", 1'000, 3'600'000,
+       "Milliseconds after which a draining upstream must get no new flows."},
+      {"store", "evacuation_ms", Type::kNumber, "5000", 1'000, 3'600'000,
+       "Milliseconds after which an evacuated failure domain must get no new "
+       "flows."},
       {"metrics", "port", Type::kNumber, "9100", 1, 65'535,
        "TCP port of /metrics, on the address of packets.endpoint."},
       {"stop", "linger_ms", Type::kNumber, "2500", 0, 3'600'000,
@@ -81,6 +92,10 @@
     settings.seeds = ParseSeeds(values.at("peers.seeds"), source);
   }
   settings.store = endpoint("store.endpoint");
+  settings.bounds = {milliseconds(number("store.detect_silence_ms")),
+                     milliseconds(number("store.configuration_ms")),
+                     milliseconds(number("store.drain_ms")),
+                     milliseconds(number("store.evacuation_ms"))};
   settings.metrics_port = static_cast<uint16_t>(number("metrics.port"));
   settings.linger = std::chrono::milliseconds(number("stop.linger_ms"));
   return settings;
--- a/src/libs/entry/entry_settings.h
+++ b/src/libs/entry/entry_settings.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "entry/watch_timing.h"
 #include "model/model.h"
 
 namespace poplarsail::entry {
@@ -28,6 +29,7 @@
   // Addresses of other entry hosts that are queried at start.
   std::vector<model::Endpoint> seeds;
   model::Endpoint store;
+  CurrencyBounds bounds;
   uint16_t metrics_port = 0;
   // Time for which packets are still forwarded after SIGTERM.
   std::chrono::milliseconds linger{0};
--- a/src/libs/entry/state_store.h
+++ b/src/libs/entry/state_store.h
@@ -24,6 +24,13 @@
   uint64_t revision = 0;
 };
 
+// Which data a list may return.
+enum class ReadFreshness : uint8_t {
+  kLatest,
+  // Data that is some seconds old, at a tenth of the price of a call.
+  kMayBeStale,
+};
+
 // Counts of calls to the store by outcome, and of malformed objects.
 struct StoreCallCounts {
   uint64_t answered = 0;
@@ -43,7 +50,8 @@
   virtual ~StateStore() = default;
 
   virtual boost::asio::awaitable<StateBatch> List(
-      cluster_state::ObjectKind kind) = 0;
+      cluster_state::ObjectKind kind,
+      ReadFreshness freshness) = 0;
 
   // Waits for changes after revision `from`, at most until `deadline`.
   virtual boost::asio::awaitable<StateBatch> Watch(
--- a/src/libs/entry/store_watcher.cc
+++ b/src/libs/entry/store_watcher.cc
@@ -25,16 +25,21 @@
 StoreWatcher::StoreWatcher(boost::asio::io_context* context,
                            StateStore* store,
                            RetryGate* gate,
+                           RevisionFloor* floor,
                            cluster_state::ObjectKind kind,
+                           const WatchTiming& timing,
                            cluster_state::ClusterState* cluster_state,
                            std::function<void()> on_change)
     : m_store(store),
       m_gate(gate),
+      m_floor(floor),
       m_kind(kind),
+      m_timing(timing),
       m_cluster_state(cluster_state),
       m_on_change(std::move(on_change)),
       m_timer(*context),
-      m_random(std::random_device()()) {}
+      m_random(std::random_device()()),
+      m_needs_latest_list(kind == kReferenceKind) {}
 
 boost::asio::awaitable<void> StoreWatcher::Run() {
   while (true) {
@@ -47,6 +52,7 @@
                      "history is gone, listing anew",
                      {{"kind", KindToLabel(m_kind)}, {"reason", error.what()}});
       m_watch_revision = 0;
+      m_needs_latest_list = true;
       continue;
     } catch (const objects::ObjectStoreError& error) {
       failure = error.what();
@@ -64,19 +70,44 @@
 
 boost::asio::awaitable<void> StoreWatcher::ListOrWatch() {
   if (m_watch_revision == 0) {
-    const StateBatch batch = co_await m_store->List(m_kind);
-    RecordSuccess();
-    Apply(batch, true);
-    m_watch_revision = batch.revision;
+    co_await List();
+    // Meanwhile the list of the reference kind arrives.
+    co_await Sleep(m_timing.coalesce_delay);
     co_return;
   }
-  const auto deadline = std::chrono::steady_clock::now() + kWatchTimeout;
+  if (std::exchange(m_is_list_unverified, false) &&
+      m_floor->IsStale(m_watch_revision)) {
+    telemetry::Log(telemetry::LogLevel::kInfo, "state",
+                   "list is stale, listing anew",
+                   {{"kind", KindToLabel(m_kind)},
+                    {"revision", std::to_string(m_watch_revision)}});
+    m_needs_latest_list = true;
+    co_await List();
+  }
+  // While the store is lost, only a response shows that it is back: a watch
+  // that waits for changes could delay that by the whole wait.
+  const auto now = std::chrono::steady_clock::now();
+  const auto deadline = m_failures > 0 ? now : now + m_timing.wait;
   const StateBatch batch =
       co_await m_store->Watch(m_kind, m_watch_revision, deadline);
   RecordSuccess();
   Apply(batch, false);
   m_watch_revision = std::max(m_watch_revision, batch.revision);
-  co_await Sleep(kWatchCoalesceDelay);
+  co_await Sleep(m_timing.coalesce_delay);
+}
+
+boost::asio::awaitable<void> StoreWatcher::List() {
+  const ReadFreshness freshness =
+      m_needs_latest_list ? ReadFreshness::kLatest : ReadFreshness::kMayBeStale;
+  const StateBatch batch = co_await m_store->List(m_kind, freshness);
+  RecordSuccess();
+  Apply(batch, true);
+  m_watch_revision = batch.revision;
+  m_is_list_unverified = freshness == ReadFreshness::kMayBeStale;
+  if (freshness == ReadFreshness::kLatest) {
+    m_floor->Raise(batch.revision);
+  }
+  m_needs_latest_list = m_kind == kReferenceKind;
 }
 
 boost::asio::awaitable<void> StoreWatcher::Sleep(
--- a/src/libs/entry/store_watcher.h
+++ b/src/libs/entry/store_watcher.h
@@ -2,7 +2,9 @@
 #define ENTRY_STORE_WATCHER_H_
 
 #include "entry/retry_gate.h"
+#include "entry/revision_floor.h"
 #include "entry/state_store.h"
+#include "entry/watch_timing.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -14,13 +16,6 @@
 
 namespace poplarsail::entry {
 
-// Longest time that one watch waits for changes. A dead connection, including
-// one whose keep-alives are still answered by a middlebox, is detected when the
-// watch's response is overdue, which must be within the stable window of 4 s.
-inline constexpr std::chrono::seconds kWatchTimeout{3};
-// Delay after each watch, so that one call returns several changes. The delay
-// is small against the bounds on configuration changes and drains, 3 s or more.
-inline constexpr cluster_state::milliseconds kWatchCoalesceDelay{300};
 // Exponential backoff after failed calls: doubled with each failure, up to half
 // of the delay is jitter.
 inline constexpr cluster_state::milliseconds kInitialRetryDelay{100};
@@ -32,6 +27,12 @@
                const StateBatch& batch,
                cluster_state::SteadyTime now);
 
+// The kind with the fewest objects. Its lists return the latest data, which
+// costs ten times as much, and show whether the lists of the other kinds are
+// stale.
+inline constexpr cluster_state::ObjectKind kReferenceKind =
+    cluster_state::ObjectKind::kEvacuations;
+
 // Keeps the cluster state in sync with one kind of objects in the store: lists
 // them, then watches for changes.
 class StoreWatcher {
@@ -39,7 +40,9 @@
   StoreWatcher(boost::asio::io_context* context,
                StateStore* store,
                RetryGate* gate,
+               RevisionFloor* floor,
                cluster_state::ObjectKind kind,
+               const WatchTiming& timing,
                cluster_state::ClusterState* cluster_state,
                std::function<void()> on_change);
 
@@ -51,6 +54,7 @@
 
  private:
   boost::asio::awaitable<void> ListOrWatch();
+  boost::asio::awaitable<void> List();
   boost::asio::awaitable<void> Sleep(cluster_state::milliseconds delay);
   void Apply(const StateBatch& batch, bool is_list);
   void RecordFailure(const char* reason);
@@ -58,13 +62,19 @@
 
   StateStore* m_store;
   RetryGate* m_gate;
+  RevisionFloor* m_floor;
   cluster_state::ObjectKind m_kind;
+  WatchTiming m_timing;
   cluster_state::ClusterState* m_cluster_state;
   std::function<void()> m_on_change;
   boost::asio::steady_timer m_timer;
   std::minstd_rand m_random;
   // Revision to watch from; 0 if a list is needed first.
   uint64_t m_watch_revision = 0;
+  // The next list must return the latest data.
+  bool m_needs_latest_list = false;
+  // The last list may be stale and has not been compared with the floor yet.
+  bool m_is_list_unverified = false;
   uint32_t m_failures = 0;
 };
 
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -27,9 +27,9 @@
 // time. Clients retransmit after 200 ms at the earliest, less jitter.
 inline constexpr milliseconds kFlowResponseTimeout{150};
 // A tag that identifies no known upstream may belong to one that this host has
-// not learned of yet. Packets of such a flow are dropped for this time before
+// not learned of yet, up to the delay between two watches after the others. Packets of such a flow are dropped for this time before
 // the flow is reset.
-inline constexpr milliseconds kUnknownTagGracePeriod{700};
+inline constexpr milliseconds kUnknownTagGracePeriod{900};
 
 enum class Action : uint8_t {
   // Forward the packet to the upstream, with the tag.
--- a/tests/auto/entry/tst_store_watcher.cc
+++ b/tests/auto/entry/tst_store_watcher.cc
@@ -26,14 +26,18 @@
 
   void Then(Step step) { m_steps.push_back(std::move(step)); }
 
-  boost::asio::awaitable<StateBatch> List(ObjectKind) override {
+  boost::asio::awaitable<StateBatch> List(ObjectKind,
+                                          ReadFreshness freshness) override {
     ++lists;
+    last_freshness = freshness;
     co_return co_await Next(0);
   }
-  boost::asio::awaitable<StateBatch> Watch(ObjectKind,
-                                           uint64_t from,
-                                           cluster_state::SteadyTime) override {
+  boost::asio::awaitable<StateBatch> Watch(
+      ObjectKind,
+      uint64_t from,
+      cluster_state::SteadyTime deadline) override {
     ++watches;
+    last_wait = deadline - std::chrono::steady_clock::now();
     co_return co_await Next(from);
   }
   const StoreCallCounts& counts() const override { return m_counts; }
@@ -41,6 +45,8 @@
   bool HasEnded() const { return m_has_ended; }
 
   int lists = 0;
+  cluster_state::SteadyTime::duration last_wait{0};
+  ReadFreshness last_freshness = ReadFreshness::kLatest;
   int watches = 0;
 
  private:
@@ -72,7 +78,9 @@
       : watcher(&context,
                 &store,
                 &gate,
+                &floor,
                 ObjectKind::kUpstreams,
+                ComputeWatchTiming({}, ObjectKind::kUpstreams),
                 &cluster_state,
                 [this]() { ++changes; }) {}
 
@@ -88,6 +96,7 @@
   ClusterState cluster_state;
   int changes = 0;
   RetryGate gate{&context};
+  RevisionFloor floor;
   StoreWatcher watcher;
 };
 
@@ -147,6 +156,34 @@
   CHECK(fixture.cluster_state.upstreams().size() == 2);
 }
 
+TEST_CASE("While the store is lost a watch does not wait for changes") {
+  // A watch that started shortly before a silent store returned kept its host
+  // from noticing the return for four seconds, beyond the bound on
+  // configuration changes (zlab-west trouble-1 --seed 382297189291, CONFIG).
+  WatcherFixture fixture;
+  const auto second = std::chrono::seconds(1);
+  fixture.store.Then([](uint64_t) { return StateBatch{{Upstream(1, 5)}, 7}; });
+  fixture.store.Then([&](uint64_t) -> StateBatch {
+    CHECK(fixture.store.last_wait > second);
+    throw objects::UnknownOutcomeError("no response");
+  });
+  for (int i = 0; i < 2; ++i) {
+    fixture.store.Then([&](uint64_t) -> StateBatch {
+      CHECK(fixture.store.last_wait <= std::chrono::seconds(0));
+      throw objects::UnknownOutcomeError("no response");
+    });
+  }
+  fixture.store.Then([&](uint64_t) {
+    CHECK(fixture.store.last_wait <= std::chrono::seconds(0));
+    return StateBatch{{}, 9};
+  });
+  fixture.store.Then([&](uint64_t) {
+    CHECK(fixture.store.last_wait > second);
+    return StateBatch{{}, 9};
+  });
+  fixture.RunScript();
+}
+
 TEST_CASE("A stale response does not move the watch revision back") {
   WatcherFixture fixture;
   fixture.store.Then([](uint64_t) { return StateBatch{{Upstream(1, 5)}, 20}; });
@@ -159,6 +196,42 @@
   CHECK(fixture.store.watches == 3);
 }
 
+TEST_CASE("A stale list is replaced by the latest one before it is trusted") {
+  // Stale data may be seconds old: an upstream that has left would be in use
+  // again after a restart of the daemon.
+  WatcherFixture fixture;
+  fixture.store.Then([&fixture](uint64_t) {
+    CHECK(fixture.store.last_freshness == ReadFreshness::kMayBeStale);
+    // The list of the reference kind arrives at the same time.
+    fixture.floor.Raise(9);
+    return StateBatch{{Upstream(1, 5), Upstream(2, 6)}, 7};
+  });
+  fixture.store.Then([&fixture](uint64_t) {
+    CHECK(fixture.store.last_freshness == ReadFreshness::kLatest);
+    return StateBatch{{Upstream(1, 5)}, 9};
+  });
+  fixture.store.Then([](uint64_t from) {
+    CHECK(from == 9);
+    return StateBatch{{}, 12};
+  });
+  fixture.RunScript();
+  CHECK(fixture.store.lists == 2);
+  CHECK(fixture.cluster_state.upstreams().at("2").is_unregistered);
+}
+
+TEST_CASE("After compaction the latest data is listed") {
+  // A stale list could lead to a revision whose history is gone again.
+  WatcherFixture fixture;
+  fixture.store.Then([](uint64_t) { return StateBatch{{Upstream(1, 5)}, 7}; });
+  fixture.store.Then(
+      [](uint64_t) -> StateBatch { throw objects::CompactedError("gone"); });
+  fixture.store.Then([&fixture](uint64_t) {
+    CHECK(fixture.store.last_freshness == ReadFreshness::kLatest);
+    return StateBatch{{Upstream(1, 5)}, 20};
+  });
+  fixture.RunScript();
+}
+
 TEST_CASE("One caller probes the store while the others wait") {
   boost::asio::io_context context;
   RetryGate gate(&context);
--- /dev/null
+++ b/tests/auto/entry/tst_watch_timing.cc
@@ -0,0 +1,53 @@
+#include <catch2/catch.hpp>
+
+#include "entry/watch_timing.h"
+
+namespace poplarsail::entry {
+namespace {
+
+using cluster_state::ObjectKind;
+using namespace std::chrono_literals;
+
+constexpr ObjectKind kKinds[] = {ObjectKind::kConfiguration,
+                                 ObjectKind::kUpstreams,
+                                 ObjectKind::kEvacuations};
+
+milliseconds BoundOf(const CurrencyBounds& bounds, ObjectKind kind) {
+  return kind == ObjectKind::kConfiguration ? bounds.configuration
+         : kind == ObjectKind::kUpstreams   ? bounds.drain
+                                            : bounds.evacuation;
+}
+
+TEST_CASE("A silent watch ends early enough for the bounds to be kept") {
+  const CurrencyBounds bounds =
+      GENERATE(CurrencyBounds{4s, 3s, 3s, 5s}, CurrencyBounds{5s, 5s, 5s, 5s},
+               CurrencyBounds{6s, 6s, 6s, 5s}, CurrencyBounds{2s, 2s, 2s, 2s});
+  for (const ObjectKind kind : kKinds) {
+    const WatchTiming timing = ComputeWatchTiming(bounds, kind);
+    CHECK(timing.wait >= 1s);
+    CHECK(timing.wait + 2s <= bounds.detect_silence + BoundOf(bounds, kind));
+    CHECK(timing.coalesce_delay * 5 <= BoundOf(bounds, kind));
+  }
+}
+
+TEST_CASE("Hosts under wide bounds call the store less often") {
+  const CurrencyBounds narrow{4s, 3s, 3s, 5s};
+  const CurrencyBounds wide{6s, 6s, 6s, 5s};
+  const auto timing = [](const CurrencyBounds& bounds) {
+    return ComputeWatchTiming(bounds, ObjectKind::kConfiguration);
+  };
+  CHECK(timing(narrow).wait == 4'500ms);
+  CHECK(timing(wide).wait == 9'500ms);
+  CHECK(timing(narrow).coalesce_delay == 300ms);
+  CHECK(timing(wide).coalesce_delay == 600ms);
+}
+
+TEST_CASE("New upstreams are known before flows on them are given up") {
+  const WatchTiming timing = ComputeWatchTiming(
+      CurrencyBounds{20s, 20s, 20s, 20s}, ObjectKind::kUpstreams);
+  CHECK(timing.coalesce_delay == kMaxUpstreamCoalesceDelay);
+  CHECK(timing.wait == 29s);
+}
+
+}  // namespace
+}  // namespace poplarsail::entry
--- a/tests/auto/platform/tst_http_state_store.cc
+++ b/tests/auto/platform/tst_http_state_store.cc
@@ -70,8 +70,8 @@
     fixture.store.Put("servers", "i-" + std::to_string(i),
                       UpstreamSpec("ready"));
   }
-  const entry::StateBatch batch =
-      fixture.Await(fixture.state.List(ObjectKind::kUpstreams));
+  const entry::StateBatch batch = fixture.Await(fixture.state.List(
+      ObjectKind::kUpstreams, entry::ReadFreshness::kLatest));
   CHECK(batch.entries.size() == 5);
   CHECK(batch.revision == fixture.store.revision());
   CHECK(fixture.store.call_count() == 3);
@@ -107,8 +107,8 @@
   fixture.store.Put("servers", "i-1", UpstreamSpec("ready"));
   fixture.store.Put("servers", "i-2", UpstreamSpec("resting"));
   fixture.store.Put("servers", "i-3", "not even a table");
-  const entry::StateBatch batch =
-      fixture.Await(fixture.state.List(ObjectKind::kUpstreams));
+  const entry::StateBatch batch = fixture.Await(fixture.state.List(
+      ObjectKind::kUpstreams, entry::ReadFreshness::kLatest));
   REQUIRE(batch.entries.size() == 3);
   int usable = 0;
   for (const entry::StateEntry& entry : batch.entries) {
@@ -132,33 +132,39 @@
   }
   SECTION("throttled") {
     fixture.store.set_mode(StoreMode::kThrottled);
-    CHECK_THROWS_AS(fixture.Await(fixture.state.List(ObjectKind::kUpstreams)),
+    CHECK_THROWS_AS(fixture.Await(fixture.state.List(
+                        ObjectKind::kUpstreams, entry::ReadFreshness::kLatest)),
                     objects::UnavailableError);
     CHECK(fixture.state.counts().refused == 1);
   }
   SECTION("unavailable") {
     fixture.store.set_mode(StoreMode::kUnavailable);
-    CHECK_THROWS_AS(fixture.Await(fixture.state.List(ObjectKind::kUpstreams)),
+    CHECK_THROWS_AS(fixture.Await(fixture.state.List(
+                        ObjectKind::kUpstreams, entry::ReadFreshness::kLatest)),
                     objects::UnavailableError);
   }
   SECTION("resetting") {
     fixture.store.set_mode(StoreMode::kReset);
-    CHECK_THROWS_AS(fixture.Await(fixture.state.List(ObjectKind::kUpstreams)),
+    CHECK_THROWS_AS(fixture.Await(fixture.state.List(
+                        ObjectKind::kUpstreams, entry::ReadFreshness::kLatest)),
                     objects::UnknownOutcomeError);
     CHECK(fixture.state.counts().failed == 1);
   }
   SECTION("unresponsive") {
     fixture.store.set_mode(StoreMode::kUnresponsive);
-    CHECK_THROWS_AS(fixture.Await(fixture.state.List(ObjectKind::kUpstreams)),
+    CHECK_THROWS_AS(fixture.Await(fixture.state.List(
+                        ObjectKind::kUpstreams, entry::ReadFreshness::kLatest)),
                     objects::UnknownOutcomeError);
   }
   SECTION("the next call after each failure succeeds") {
     for (const StoreMode mode :
          {StoreMode::kUnavailable, StoreMode::kReset, StoreMode::kThrottled}) {
       fixture.store.set_mode(mode);
-      CHECK_THROWS(fixture.Await(fixture.state.List(ObjectKind::kUpstreams)));
+      CHECK_THROWS(fixture.Await(fixture.state.List(
+          ObjectKind::kUpstreams, entry::ReadFreshness::kLatest)));
       fixture.store.set_mode(StoreMode::kServe);
-      CHECK_NOTHROW(fixture.Await(fixture.state.List(ObjectKind::kUpstreams)));
+      CHECK_NOTHROW(fixture.Await(fixture.state.List(
+          ObjectKind::kUpstreams, entry::ReadFreshness::kLatest)));
     }
   }
 }
