--- a/src/libs/cluster_state/cluster_state.cc
+++ b/src/libs/cluster_state/cluster_state.cc
@@ -4,28 +4,61 @@
 
 namespace poplarsail::cluster_state {
 
-void ClusterState::Apply(const ConfigurationEntry& entry, SteadyTime) {
-  if (!m_configuration_set.Put(entry) || !entry.value) {
-    return;
+void ClusterState::Apply(const ConfigurationEntry& entry, SteadyTime now) {
+  ApplyChange(entry, now);
+}
+
+void ClusterState::Apply(const UpstreamEntry& entry, SteadyTime now) {
+  if (!WasRemoved(ObjectKind::kUpstreams, entry)) {
+    ApplyChange(entry, now);
   }
-  // Never go back to an older version, even if it has a newer revision.
-  if (m_configuration && entry.value->version < m_configuration->version) {
+}
+
+void ClusterState::Apply(const EvacuationEntry& entry, SteadyTime now) {
+  if (!WasRemoved(ObjectKind::kEvacuations, entry)) {
+    ApplyChange(entry, now);
+  }
+}
+
+void ClusterState::ApplyChange(const ConfigurationEntry& entry, SteadyTime) {
+  m_configuration_set.Put(entry);
+  if (entry.value) {
+    UseConfiguration(*entry.value);
+  }
+}
+
+void ClusterState::UseConfiguration(const Configuration& configuration) {
+  // Versions order configurations across restores of the store, where revisions
+  // are given out again. Never go back to an older version.
+  if (m_configuration && configuration.version <= m_configuration->version) {
     return;
   }
-  m_configuration = entry.value;
+  m_configuration = configuration;
   RecordNonUpstreamChange();
 }
 
-void ClusterState::Apply(const UpstreamEntry& entry, SteadyTime now) {
-  if (!m_upstream_set.Put(entry)) {
+void ClusterState::ApplyChange(const UpstreamEntry& entry, SteadyTime now) {
+  // A new write of the same registration shows that its owner is alive.
+  const bool ends_quarantine =
+      m_quarantined.contains(entry.name) && m_upstream_set.IsNewer(entry);
+  if (!m_upstream_set.Put(entry) && !ends_quarantine) {
     return;
   }
   if (!entry.value) {
     MarkUnregistered(entry.name, now);
     return;
   }
+  m_unconfirmed_upstreams.erase(entry.name);
+  m_quarantined.erase(entry.name);
+  PutUpstream(entry, now);
+}
+
+void ClusterState::PutUpstream(const UpstreamEntry& entry, SteadyTime now) {
+  if (!ClaimAddress(entry, now)) {
+    return;
+  }
   m_removal_deadlines.erase(entry.name);
-  RemoveUnregisteredAt(entry.value->endpoint);
+  m_departed.erase(entry.name);
   const auto [item, is_new] = m_upstreams.try_emplace(entry.name);
   if (!is_new && item->second.record.id != entry.value->id) {
     RecordUpstreamChange(entry.name, item->second.record.id);
@@ -34,10 +67,16 @@
   RecordUpstreamChange(entry.name, entry.value->id);
 }
 
-void ClusterState::Apply(const EvacuationEntry& entry, SteadyTime) {
-  if (!m_evacuation_set.Put(entry)) {
-    return;
+void ClusterState::ApplyChange(const EvacuationEntry& entry, SteadyTime) {
+  // Any later word on an evacuation replaces what was in force before a
+  // restore.
+  m_unconfirmed_evacuations.erase(entry.name);
+  if (m_evacuation_set.Put(entry)) {
+    UpdateEvacuatedDomains();
   }
+}
+
+void ClusterState::UpdateEvacuatedDomains() {
   m_evacuated_domains.clear();
   for (const auto& [name, known] : m_evacuation_set.entries()) {
     if (known.value) {
@@ -47,14 +86,97 @@
   RecordNonUpstreamChange();
 }
 
-void ClusterState::MarkListed(ObjectKind kind, uint64_t revision) {
-  uint64_t& listed = m_listed_revisions[static_cast<size_t>(kind)];
-  listed = std::max(listed, revision);
-  if (kind == ObjectKind::kUpstreams && listed > kTombstoneRetentionRevisions) {
-    m_upstream_set.PurgeTombstones(listed - kTombstoneRetentionRevisions);
+void ClusterState::MarkListed(ObjectKind kind, const StoreVersion& version) {
+  StoreVersion& listed = m_listed_versions[static_cast<size_t>(kind)];
+  listed = std::max(listed, version);
+  if (kind == ObjectKind::kUpstreams &&
+      listed.revision > kTombstoneRetentionRevisions) {
+    m_upstream_set.PurgeTombstones(listed.revision -
+                                   kTombstoneRetentionRevisions);
+  }
+}
+
+void ClusterState::AdoptEra(const std::vector<ConfigurationEntry>& entries,
+                            SteadyTime) {
+  m_configuration_set.Reset(entries);
+  for (const ConfigurationEntry& entry : entries) {
+    if (entry.value) {
+      UseConfiguration(*entry.value);
+    }
+  }
+}
+
+void ClusterState::AdoptEra(const std::vector<EvacuationEntry>& entries,
+                            SteadyTime now) {
+  // An evacuation that the copy lacks may have been requested after the copy
+  // was made. One that the copy lists may have been ended since; it is in force
+  // until it is ended again, which costs capacity but breaks no promise.
+  for (const std::string& domain : m_evacuated_domains) {
+    m_unconfirmed_evacuations.try_emplace(domain, now + kEvacuationReturnTime);
+  }
+  for (const EvacuationEntry& entry : entries) {
+    m_unconfirmed_evacuations.erase(entry.name);
+  }
+  m_evacuation_set.Reset(entries);
+  UpdateEvacuatedDomains();
+}
+
+void ClusterState::AdoptEra(const std::vector<UpstreamEntry>& entries,
+                            SteadyTime now) {
+  m_upstream_set.Reset(entries);
+  m_quarantined.clear();
+  std::set<std::string> listed;
+  for (const UpstreamEntry& entry : entries) {
+    if (entry.value) {
+      listed.insert(entry.name);
+    }
+  }
+  for (const auto& [name, known] : m_upstreams) {
+    if (!listed.contains(name) && !known.is_unregistered) {
+      m_unconfirmed_upstreams[name] = now + kRegistrationReturnTime;
+    }
+  }
+  for (const UpstreamEntry& entry : entries) {
+    if (entry.value) {
+      AdoptUpstream(entry, now);
+    }
   }
 }
 
+void ClusterState::AdoptUpstream(UpstreamEntry entry, SteadyTime now) {
+  if (HasDeparted(entry)) {
+    m_quarantined[entry.name] = now + kDepartedQuarantine;
+    return;
+  }
+  const auto known = m_upstreams.find(entry.name);
+  const bool was_draining =
+      known != m_upstreams.end() &&
+      known->second.record.id == entry.value->id &&
+      known->second.record.started_unix_ms == entry.value->started_unix_ms &&
+      known->second.record.phase == UpstreamPhase::kDraining;
+  if (was_draining) {
+    entry.value->phase = UpstreamPhase::kDraining;
+    m_upstream_set.Replace(entry);
+  }
+  m_unconfirmed_upstreams.erase(entry.name);
+  PutUpstream(entry, now);
+}
+
+bool ClusterState::HasDeparted(const UpstreamEntry& entry) const {
+  const auto departed = m_departed.find(entry.name);
+  return departed != m_departed.end() &&
+         departed->second.id == entry.value->id &&
+         departed->second.started_unix_ms == entry.value->started_unix_ms;
+}
+
+bool ClusterState::KnowsChangesSince(ObjectKind kind,
+                                     const StoreVersion& version) const {
+  const StoreVersion& listed = listed_version(kind);
+  const StoreVersion& start = m_history_starts[static_cast<size_t>(kind)];
+  return version.era == listed.era && version >= start &&
+         version.revision + kTombstoneRetentionRevisions > listed.revision;
+}
+
 bool ClusterState::IsComplete() const {
   return IsListed(ObjectKind::kConfiguration) &&
          IsListed(ObjectKind::kUpstreams) &&
@@ -67,7 +189,34 @@
   }
 }
 
-void ClusterState::RemoveExpiredUpstreams(SteadyTime now) {
+void ClusterState::RemoveExpired(SteadyTime now) {
+  std::erase_if(m_departed, [now](const auto& item) {
+    return item.second.forget_at <= now;
+  });
+  if (std::erase_if(m_unconfirmed_evacuations, [now](const auto& item) {
+        return item.second <= now;
+      }) > 0) {
+    RecordNonUpstreamChange();
+  }
+  std::vector<std::string> not_returned;
+  for (const auto& [name, deadline] : m_unconfirmed_upstreams) {
+    if (deadline <= now) {
+      not_returned.push_back(name);
+    }
+  }
+  for (const std::string& name : not_returned) {
+    MarkUnregistered(name, now);
+  }
+  std::erase_if(m_quarantined, [this, now](const auto& item) {
+    if (now < item.second) {
+      return false;
+    }
+    const UpstreamEntry* entry = m_upstream_set.Find(item.first);
+    if (entry != nullptr && entry->value) {
+      PutUpstream(*entry, now);
+    }
+    return true;
+  });
   for (auto item = m_removal_deadlines.begin();
        item != m_removal_deadlines.end();) {
     if (now < item->second) {
@@ -83,6 +232,30 @@
   }
 }
 
+bool ClusterState::ClaimAddress(const UpstreamEntry& entry, SteadyTime now) {
+  std::string& user = m_address_users[entry.value->endpoint];
+  const auto other =
+      user == entry.name ? m_upstreams.end() : m_upstreams.find(user);
+  const bool is_used = other != m_upstreams.end() &&
+                       !other->second.is_unregistered &&
+                       other->second.record.endpoint == entry.value->endpoint;
+  if (is_used) {
+    const int64_t other_start = other->second.record.started_unix_ms;
+    const int64_t start = entry.value->started_unix_ms;
+    if (other_start > start && start > 0) {
+      return false;
+    }
+    const bool is_former_user = (other_start < start && other_start > 0) ||
+                                m_unconfirmed_upstreams.contains(user);
+    if (is_former_user) {
+      MarkUnregistered(std::string(user), now);
+    }
+  }
+  user = entry.name;
+  RemoveUnregisteredAt(entry.value->endpoint);
+  return true;
+}
+
 void ClusterState::RemoveUnregisteredAt(const model::Ipv4Endpoint& endpoint) {
   std::erase_if(m_removal_deadlines, [&](const auto& item) {
     const auto unregistered = m_upstreams.find(item.first);
@@ -98,12 +271,17 @@
 }
 
 void ClusterState::MarkUnregistered(const std::string& name, SteadyTime now) {
+  m_quarantined.erase(name);
+  m_unconfirmed_upstreams.erase(name);
   const auto found = m_upstreams.find(name);
   if (found == m_upstreams.end()) {
     return;
   }
   RecordUpstreamChange(name, found->second.record.id);
   found->second.is_unregistered = true;
+  m_departed[name] = {found->second.record.id,
+                      found->second.record.started_unix_ms,
+                      now + kDepartedRetention};
   m_removal_deadlines.try_emplace(name, now + kUnregisteredGracePeriod);
 }
 
--- a/src/libs/cluster_state/records.h
+++ b/src/libs/cluster_state/records.h
@@ -2,6 +2,7 @@
 #define CLUSTER_STATE_RECORDS_H_
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -14,6 +15,16 @@
 using SteadyTime = std::chrono::steady_clock::time_point;
 using std::chrono::milliseconds;
 
+// A state of the store. If the store is restored from an older copy, its
+// revisions go back and are given out again; its era rises with each restore,
+// so versions of different eras never mix. Era 0: the store states none.
+struct StoreVersion {
+  uint64_t era = 0;
+  uint64_t revision = 0;
+
+  friend auto operator<=>(const StoreVersion&, const StoreVersion&) = default;
+};
+
 enum class UpstreamPhase : uint8_t { kServing, kDraining };
 
 // The registration of an upstream.
--- a/src/libs/cluster_state/versioned_set.h
+++ b/src/libs/cluster_state/versioned_set.h
@@ -31,16 +31,24 @@
   // Stores `entry` unless the same or a newer revision is known. Returns
   // whether the value changed.
   bool Put(const Entry& entry) {
-    Entry& known = m_entries[entry.name];
-    const bool is_first = known.name.empty();
-    if (!is_first && entry.revision <= known.revision) {
+    if (!IsNewer(entry)) {
       return false;
     }
+    Entry& known = m_entries[entry.name];
     const bool changed = known.value != entry.value;
     known = entry;
     return changed;
   }
 
+  // Whether neither the same nor a newer revision of the object is known.
+  bool IsNewer(const Entry& entry) const {
+    const Entry* known = Find(entry.name);
+    return known == nullptr || entry.revision > known->revision;
+  }
+
+  // Stores `entry` whatever revision is known.
+  void Replace(const Entry& entry) { m_entries[entry.name] = entry; }
+
   // Returns the names of known objects that are missing from `entries`, a
   // complete list as of `revision`.
   std::vector<std::string> FindMissingFrom(const std::vector<Entry>& entries,
@@ -63,6 +71,15 @@
     return found == m_entries.end() ? nullptr : &found->second;
   }
 
+  // Replaces all entries, whose revisions belong to an earlier era of the
+  // store.
+  void Reset(const std::vector<Entry>& entries) {
+    m_entries.clear();
+    for (const Entry& entry : entries) {
+      m_entries[entry.name] = entry;
+    }
+  }
+
   // Purges tombstones up to and including `revision`.
   void PurgeTombstones(uint64_t revision) {
     std::erase_if(m_entries, [revision](const auto& item) {
--- a/src/libs/entry/cluster_state_codec.cc
+++ b/src/libs/entry/cluster_state_codec.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 #include <sstream>
 #include <vector>
 
@@ -120,23 +121,21 @@
 }
 
 // Returns the revision after which changes are sent; 0 if all objects have to
-// be sent because the querying host knows none or tombstones since its revision
-// may have been dropped.
+// be sent because the querying host knows none, or because removals since its
+// revision may be unknown here.
 uint64_t ChangesSince(const ClusterState& cluster_state,
                       ObjectKind kind,
-                      const ListedRevisions& known) {
-  const uint64_t since = known[static_cast<size_t>(kind)];
-  const bool is_remembered =
-      since + cluster_state::kTombstoneRetentionRevisions >
-      cluster_state.listed_revision(kind);
-  return is_remembered ? since : 0;
+                      const KnownVersions& known) {
+  const cluster_state::StoreVersion& since =
+      known.listed[static_cast<size_t>(kind)];
+  return cluster_state.KnowsChangesSince(kind, since) ? since.revision : 0;
 }
 
 // Encodes objects as [name, revision, value]; the value of tombstones is null.
 template <typename Record>
 json EncodeKind(const ClusterState& cluster_state,
                 ObjectKind kind,
-                const ListedRevisions& known,
+                const KnownVersions& known,
                 cluster_state::SteadyTime now) {
   const uint64_t since = ChangesSince(cluster_state, kind, known);
   json objects = json::array();
@@ -150,15 +149,38 @@
            entry.value ? Encode(*entry.value, now) : json(nullptr)});
     }
   }
-  return {{"at", cluster_state.listed_revision(kind)},
+  const cluster_state::StoreVersion& listed =
+      cluster_state.listed_version(kind);
+  return {{"at", listed.revision},
+          {"era", listed.era},
           {"since", since},
           {"objects", objects}};
 }
 
+// Returns whether a host with `known` needs the configuration in force besides
+// the changes: after a restore of the store it may be newer than the listed
+// one.
+bool LacksConfigurationInForce(const ClusterState& cluster_state,
+                               const KnownVersions& known) {
+  const auto& in_force = cluster_state.configuration();
+  if (!in_force || in_force->version <= known.configuration) {
+    return false;
+  }
+  const uint64_t since =
+      ChangesSince(cluster_state, ObjectKind::kConfiguration, known);
+  const auto& entries =
+      cluster_state.versioned_set<cluster_state::Configuration>().entries();
+  return std::none_of(entries.begin(), entries.end(), [&](const auto& item) {
+    const auto& entry = item.second;
+    return entry.value && entry.value->version == in_force->version &&
+           entry.revision > since;
+  });
+}
+
 // The part of a message for one kind.
 template <typename Record>
 struct KindUpdate {
-  uint64_t revision = 0;
+  cluster_state::StoreVersion version;
   uint64_t since = 0;
   std::vector<cluster_state::Versioned<Record>> entries;
 };
@@ -166,7 +188,9 @@
 template <typename Record>
 KindUpdate<Record> DecodeKind(const json& part, cluster_state::SteadyTime now) {
   KindUpdate<Record> update;
-  update.revision = part.at("at").get<uint64_t>();
+  // Hosts of earlier releases send no era.
+  update.version = {part.value("era", uint64_t{0}),
+                    part.at("at").get<uint64_t>()};
   update.since = part.at("since").get<uint64_t>();
   for (const json& object : part.at("objects")) {
     cluster_state::Versioned<Record> entry;
@@ -187,49 +211,85 @@
                ObjectKind kind,
                ClusterState* cluster_state,
                cluster_state::SteadyTime now) {
-  if (update.revision == 0) {
+  if (update.version.revision == 0) {
     return;
   }
   if (update.since == 0) {
-    cluster_state->ApplyList<Record>(kind, update.entries, update.revision,
-                                     now);
+    cluster_state->ApplyList<Record>(kind, update.entries, update.version, now);
+    return;
+  }
+  const cluster_state::StoreVersion& listed =
+      cluster_state->listed_version(kind);
+  if (update.version.era != listed.era) {
     return;
   }
   for (const cluster_state::Versioned<Record>& entry : update.entries) {
     cluster_state->Apply(entry, now);
   }
   // Without the revisions up to `since` the changes leave a gap.
-  if (cluster_state->listed_revision(kind) >= update.since) {
-    cluster_state->MarkListed(kind, update.revision);
+  if (listed.revision >= update.since) {
+    cluster_state->MarkListed(kind, update.version);
   }
 }
 
-}  // namespace
+// Numbers in the text of KnownVersions: a revision and an era of each kind and
+// the version of the configuration.
+constexpr size_t kKnownNumbers = 2 * cluster_state::kObjectKindCount + 1;
 
-ListedRevisions ListedRevisionsOf(const ClusterState& cluster_state) {
-  ListedRevisions revisions{};
-  for (size_t i = 0; i < revisions.size(); ++i) {
-    revisions[i] = cluster_state.listed_revision(static_cast<ObjectKind>(i));
+KnownVersions KnownVersionsOf(std::vector<uint64_t> numbers) {
+  numbers.resize(kKnownNumbers);
+  KnownVersions known;
+  for (size_t i = 0; i < known.listed.size(); ++i) {
+    known.listed[i] = {numbers[known.listed.size() + i], numbers[i]};
+  }
+  known.configuration = static_cast<int64_t>(numbers.back());
+  return known;
+}
+
+std::vector<uint64_t> RevisionsOf(const KnownVersions& known) {
+  std::vector<uint64_t> revisions;
+  for (const cluster_state::StoreVersion& listed : known.listed) {
+    revisions.push_back(listed.revision);
   }
   return revisions;
 }
 
-bool IsNewer(const ClusterState& cluster_state, const ListedRevisions& known) {
-  const ListedRevisions own = ListedRevisionsOf(cluster_state);
-  for (size_t i = 0; i < own.size(); ++i) {
-    if (own[i] > known[i]) {
+}  // namespace
+
+KnownVersions KnownVersionsOf(const ClusterState& cluster_state) {
+  KnownVersions known;
+  for (size_t i = 0; i < known.listed.size(); ++i) {
+    known.listed[i] = cluster_state.listed_version(static_cast<ObjectKind>(i));
+  }
+  if (cluster_state.configuration()) {
+    known.configuration = cluster_state.configuration()->version;
+  }
+  return known;
+}
+
+bool IsNewer(const ClusterState& cluster_state, const KnownVersions& known) {
+  const KnownVersions own = KnownVersionsOf(cluster_state);
+  for (size_t i = 0; i < own.listed.size(); ++i) {
+    if (own.listed[i] > known.listed[i]) {
       return true;
     }
   }
-  return false;
+  return known.configuration > 0 && own.configuration > known.configuration;
 }
 
-bool LacksKind(const ListedRevisions& known) {
-  return std::find(known.begin(), known.end(), 0) != known.end();
+bool LacksKind(const KnownVersions& known) {
+  return std::any_of(known.listed.begin(), known.listed.end(),
+                     [](const auto& listed) { return listed.revision == 0; });
+}
+
+bool NeedsAllUpstreams(const ClusterState& cluster_state,
+                       const KnownVersions& known) {
+  return LacksKind(known) ||
+         ChangesSince(cluster_state, ObjectKind::kUpstreams, known) == 0;
 }
 
 std::string EncodeClusterState(const ClusterState* cluster_state,
-                               const ListedRevisions& known,
+                               const KnownVersions& known,
                                const FleetView& fleet,
                                cluster_state::SteadyTime now) {
   json local_peers = json::array();
@@ -240,14 +300,17 @@
   for (const model::Ipv4Endpoint& peer : fleet.remote_peers) {
     remote_peers.push_back(Encode(peer));
   }
-  json message = {{"version", kStateMessageVersion},
-                  {"contacts", remote_peers},
-                  {"host_count", fleet.host_count},
-                  {"neighbours", local_peers},
-                  {"revisions", fleet.revisions}};
+  json message = {
+      {"version", kStateMessageVersion},       {"contacts", remote_peers},
+      {"host_count", fleet.host_count},        {"neighbours", local_peers},
+      {"revisions", RevisionsOf(fleet.known)}, {"known", ToText(fleet.known)}};
   if (cluster_state != nullptr) {
     message["configuration"] = EncodeKind<cluster_state::Configuration>(
         *cluster_state, ObjectKind::kConfiguration, known, now);
+    if (LacksConfigurationInForce(*cluster_state, known)) {
+      message["configuration_in_force"] =
+          Encode(*cluster_state->configuration(), now);
+    }
     message["upstreams"] = EncodeKind<cluster_state::UpstreamRecord>(
         *cluster_state, ObjectKind::kUpstreams, known, now);
     message["take_outs"] = EncodeKind<cluster_state::Evacuation>(
@@ -281,7 +344,10 @@
     for (const json& peer : parsed.value("contacts", json::array())) {
       fleet.remote_peers.push_back(DecodeEndpoint(peer));
     }
-    fleet.revisions = parsed.value("revisions", ListedRevisions{});
+    fleet.known = parsed.contains("known")
+                      ? ParseKnownVersions(parsed.at("known"))
+                      : KnownVersionsOf(
+                            parsed.value("revisions", std::vector<uint64_t>()));
     if (!parsed.contains("configuration")) {
       return fleet;
     }
@@ -292,7 +358,21 @@
         DecodeKind<cluster_state::UpstreamRecord>(parsed.at("upstreams"), now);
     const auto evacuations =
         DecodeKind<cluster_state::Evacuation>(parsed.at("take_outs"), now);
+    std::optional<cluster_state::Configuration> in_force;
+    if (parsed.contains("configuration_in_force")) {
+      in_force.emplace();
+      Decode(parsed.at("configuration_in_force"), now, &*in_force);
+    }
     ApplyKind(configuration, ObjectKind::kConfiguration, cluster_state, now);
+    // The newest configuration wins, whatever the era of its source.
+    if (in_force) {
+      cluster_state->UseConfiguration(*in_force);
+    }
+    for (const auto& entry : configuration.entries) {
+      if (entry.value) {
+        cluster_state->UseConfiguration(*entry.value);
+      }
+    }
     ApplyKind(upstreams, ObjectKind::kUpstreams, cluster_state, now);
     ApplyKind(evacuations, ObjectKind::kEvacuations, cluster_state, now);
     return fleet;
@@ -301,22 +381,26 @@
   }
 }
 
-std::string ToText(const ListedRevisions& revisions) {
-  return fmt::format("{}", fmt::join(revisions, ","));
+std::string ToText(const KnownVersions& known) {
+  std::vector<uint64_t> eras;
+  for (const cluster_state::StoreVersion& listed : known.listed) {
+    eras.push_back(listed.era);
+  }
+  return fmt::format("{},{},{}", fmt::join(RevisionsOf(known), ","),
+                     fmt::join(eras, ","), known.configuration);
 }
 
-ListedRevisions ParseListedRevisions(const std::string& text) {
-  ListedRevisions revisions{};
+KnownVersions ParseKnownVersions(const std::string& text) {
+  std::vector<uint64_t> numbers;
   std::istringstream stream(text);
   std::string item;
-  for (size_t i = 0; i < revisions.size() && std::getline(stream, item, ',');
-       ++i) {
+  while (std::getline(stream, item, ',') && numbers.size() < kKnownNumbers) {
     uint64_t value = 0;
     const auto [end, error] =
         std::from_chars(item.data(), item.data() + item.size(), value);
-    revisions[i] = error == std::errc() ? value : 0;
+    numbers.push_back(error == std::errc() ? value : 0);
   }
-  return revisions;
+  return KnownVersionsOf(std::move(numbers));
 }
 
 }  // namespace poplarsail::entry
--- a/src/libs/entry/cluster_state_codec.h
+++ b/src/libs/entry/cluster_state_codec.h
@@ -24,18 +24,30 @@
   using std::runtime_error::runtime_error;
 };
 
-// The revision up to which each kind is known; 0 if it was never listed.
-using ListedRevisions = std::array<uint64_t, cluster_state::kObjectKindCount>;
+// What a host knows of the store: the version up to which each kind is known,
+// with revision 0 if it was never listed, and the version of the configuration
+// in force, 0 if there is none.
+struct KnownVersions {
+  std::array<cluster_state::StoreVersion, cluster_state::kObjectKindCount>
+      listed{};
+  int64_t configuration = 0;
+
+  friend bool operator==(const KnownVersions&, const KnownVersions&) = default;
+};
 
-ListedRevisions ListedRevisionsOf(
-    const cluster_state::ClusterState& cluster_state);
+KnownVersions KnownVersionsOf(const cluster_state::ClusterState& cluster_state);
 
 // Returns whether `cluster_state` has changes that a host with `known` lacks.
 bool IsNewer(const cluster_state::ClusterState& cluster_state,
-             const ListedRevisions& known);
+             const KnownVersions& known);
 
 // Returns whether a host with `known` has never listed some kind.
-bool LacksKind(const ListedRevisions& known);
+bool LacksKind(const KnownVersions& known);
+
+// Returns whether a host with `known` needs all upstreams, since it knows none
+// or those of another era.
+bool NeedsAllUpstreams(const cluster_state::ClusterState& cluster_state,
+                       const KnownVersions& known);
 
 // What a host knows about the other entry hosts.
 struct FleetView {
@@ -45,30 +57,32 @@
   std::vector<model::Ipv4Endpoint> local_peers;
   // Failure report endpoints of a few hosts in each other failure domain.
   std::vector<model::Ipv4Endpoint> remote_peers;
-  // Revisions that the responding host knows.
-  ListedRevisions revisions{};
+  // Versions that the responding host knows.
+  KnownVersions known;
 
   friend bool operator==(const FleetView&, const FleetView&) = default;
 };
 
-// Encodes a MessagePack message with the changes of each kind after its
-// revision in `known`, or with all of its objects if that is 0. Pass nullptr
-// for `cluster_state` to send `fleet` only.
+// Encodes a MessagePack message with the changes of each kind after its version
+// in `known`, or with all of its objects if that is unknown or of another era.
+// Pass nullptr for `cluster_state` to send `fleet` only.
 std::string EncodeClusterState(const cluster_state::ClusterState* cluster_state,
-                               const ListedRevisions& known,
+                               const KnownVersions& known,
                                const FleetView& fleet,
                                cluster_state::SteadyTime now);
 
-// Merges a message into `cluster_state` by revision and returns the fleet view
-// in it. Throws StateMessageError.
+// Merges a message into `cluster_state` by version and returns the fleet view
+// in it. What comes from an earlier era of the store than a kind's own is
+// ignored. Throws StateMessageError.
 FleetView MergeClusterState(std::string_view message,
                             cluster_state::ClusterState* cluster_state,
                             cluster_state::SteadyTime now);
 
-// Convert to and from comma-separated text, such as "1,2,3"; malformed numbers
-// are parsed as 0.
-std::string ToText(const ListedRevisions& revisions);
-ListedRevisions ParseListedRevisions(const std::string& text);
+// Convert to and from text: comma-separated revisions, then the eras and the
+// configuration, such as "1,2,3,1,1,1,7". Malformed or missing numbers are
+// parsed as 0; hosts of earlier releases send the revisions only.
+std::string ToText(const KnownVersions& known);
+KnownVersions ParseKnownVersions(const std::string& text);
 
 }  // namespace poplarsail::entry
 
--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -76,7 +76,7 @@
   // Shared by all store watchers.
   RetryGate retry_gate;
   // Shared by all store watchers.
-  RevisionFloor revision_floor;
+  VersionFloor version_floor;
   FailureReportChannel failure_reports;
   std::vector<std::unique_ptr<StoreWatcher>> store_watchers;
   std::unique_ptr<PeerExchange> peer_exchange;
@@ -173,7 +173,7 @@
   for (const cluster_state::ObjectKind kind : kWatchedKinds) {
     m_components->store_watchers.push_back(std::make_unique<StoreWatcher>(
         m_context, m_platform.store.get(), &m_components->retry_gate,
-        &m_components->revision_floor, kind,
+        &m_components->version_floor, kind,
         ComputeWatchTiming(m_settings.bounds, kind),
         &m_components->cluster_state, [this]() { OnClusterStateChange(); }));
     boost::asio::co_spawn(*m_context,
@@ -275,7 +275,7 @@
   m_components->packets.Poll();
   const auto now = std::chrono::steady_clock::now();
   const uint64_t generation_before = m_components->cluster_state.generation();
-  m_components->cluster_state.RemoveExpiredUpstreams(now);
+  m_components->cluster_state.RemoveExpired(now);
   if (m_components->cluster_state.generation() != generation_before) {
     OnClusterStateChange();
   }
--- a/src/libs/entry/peer_exchange.cc
+++ b/src/libs/entry/peer_exchange.cc
@@ -74,13 +74,13 @@
 
 asio::awaitable<void> PeerExchange::QueryPeer(model::Endpoint peer) {
   const auto body = co_await Get(
-      peer, MakeQueryTarget(LacksKind(ListedRevisionsOf(*m_cluster_state))));
+      peer, MakeQueryTarget(LacksKind(KnownVersionsOf(*m_cluster_state))));
   if (!body) {
     co_return;
   }
   const auto fleet = Merge(peer, *body);
-  const bool is_useful = fleet && !LacksKind(fleet->revisions);
-  if (is_useful && LacksKind(ListedRevisionsOf(*m_cluster_state))) {
+  const bool is_useful = fleet && !LacksKind(fleet->known);
+  if (is_useful && LacksKind(KnownVersionsOf(*m_cluster_state))) {
     co_await FetchFullState(peer);
   }
 }
@@ -93,7 +93,7 @@
     co_await timer.async_wait(asio::use_awaitable);
   }
   if (m_is_fetching_full_state ||
-      !LacksKind(ListedRevisionsOf(*m_cluster_state))) {
+      !LacksKind(KnownVersionsOf(*m_cluster_state))) {
     co_return;
   }
   m_is_fetching_full_state = true;
@@ -107,7 +107,7 @@
 std::string PeerExchange::MakeQueryTarget(bool is_brief) const {
   return fmt::format("{}?known={}&from={}&findings={}&domain={}&brief={:d}",
                      kClusterStatePath,
-                     ToText(ListedRevisionsOf(*m_cluster_state)),
+                     ToText(KnownVersionsOf(*m_cluster_state)),
                      model::ToString(m_options.own_endpoint),
                      model::ToString(m_options.report_endpoint),
                      m_options.failure_domain, is_brief);
@@ -165,10 +165,10 @@
   }
   if (m_cluster_state->generation() != generation_before) {
     ++m_counts.newer_responses;
-    telemetry::Log(
-        telemetry::LogLevel::kInfo, "peers", "belief taken from peer",
-        {{"peer", model::ToString(peer)},
-         {"revisions", ToText(ListedRevisionsOf(*m_cluster_state))}});
+    telemetry::Log(telemetry::LogLevel::kInfo, "peers",
+                   "belief taken from peer",
+                   {{"peer", model::ToString(peer)},
+                    {"revisions", ToText(KnownVersionsOf(*m_cluster_state))}});
     m_options.on_change();
   }
   return fleet;
@@ -177,19 +177,19 @@
 HttpResponse PeerExchange::HandleQuery(const HttpQuery& query) {
   RecordPeer(query);
   const auto known = query.find("known");
-  const ListedRevisions revisions =
-      ParseListedRevisions(known == query.end() ? "" : known->second);
+  const KnownVersions versions =
+      ParseKnownVersions(known == query.end() ? "" : known->second);
   const auto domain = query.find("domain");
   FleetView fleet = MakeFleetView(domain == query.end() ? "" : domain->second);
-  fleet.revisions = ListedRevisionsOf(*m_cluster_state);
+  fleet.known = KnownVersionsOf(*m_cluster_state);
   const auto now = std::chrono::steady_clock::now();
   const auto brief = query.find("brief");
   const bool is_brief = brief != query.end() && brief->second == "1";
-  if (is_brief || !IsNewer(*m_cluster_state, revisions)) {
-    return {200, EncodeClusterState(nullptr, revisions, fleet, now)};
+  if (is_brief || !IsNewer(*m_cluster_state, versions)) {
+    return {200, EncodeClusterState(nullptr, versions, fleet, now)};
   }
-  if (!LacksKind(revisions)) {
-    return {200, EncodeClusterState(m_cluster_state, revisions, fleet, now)};
+  if (!NeedsAllUpstreams(*m_cluster_state, versions)) {
+    return {200, EncodeClusterState(m_cluster_state, versions, fleet, now)};
   }
   const std::string& full_state = FullStateMessage(now);
   if (m_full_state_limiter.TryConsume(full_state.size(), now)) {
@@ -197,18 +197,18 @@
     return {200, full_state};
   }
   ++m_counts.full_states_refused;
-  return {200, EncodeClusterState(nullptr, revisions, fleet, now)};
+  return {200, EncodeClusterState(nullptr, versions, fleet, now)};
 }
 
 const std::string& PeerExchange::FullStateMessage(
     cluster_state::SteadyTime now) {
-  const ListedRevisions revisions = ListedRevisionsOf(*m_cluster_state);
+  const KnownVersions versions = KnownVersionsOf(*m_cluster_state);
   const bool is_current =
-      now < m_full_state_expiry && m_full_state_revisions == revisions &&
+      now < m_full_state_expiry && m_full_state_versions == versions &&
       m_full_state_generation == m_cluster_state->generation();
   if (!is_current) {
     m_full_state_message = EncodeClusterState(m_cluster_state, {}, {}, now);
-    m_full_state_revisions = revisions;
+    m_full_state_versions = versions;
     m_full_state_generation = m_cluster_state->generation();
     m_full_state_expiry = now + kFullStateCacheTime;
   }
--- a/src/libs/entry/peer_exchange.h
+++ b/src/libs/entry/peer_exchange.h
@@ -134,7 +134,7 @@
   SendRateLimiter m_full_state_limiter{kFullStateBytesPerSecond};
   // The cached full state and the state that it was encoded from.
   std::string m_full_state_message;
-  ListedRevisions m_full_state_revisions{};
+  KnownVersions m_full_state_versions{};
   uint64_t m_full_state_generation = 0;
   cluster_state::SteadyTime m_full_state_expiry;
   std::minstd_rand m_random;
--- a/src/libs/entry/state_store.h
+++ b/src/libs/entry/state_store.h
@@ -18,10 +18,10 @@
                                 cluster_state::ClusterState::UpstreamEntry,
                                 cluster_state::ClusterState::EvacuationEntry>;
 
-// Objects of one kind as of `revision`.
+// Objects of one kind as of `version`.
 struct StateBatch {
   std::vector<StateEntry> entries;
-  uint64_t revision = 0;
+  cluster_state::StoreVersion version;
 };
 
 // Which data a list may return.
@@ -38,6 +38,10 @@
   // Calls without a response. They had no effect, or an unknown one.
   uint64_t failed = 0;
   uint64_t malformed_objects = 0;
+  // Responses that were not used because of the era that they state.
+  uint64_t unusable_eras = 0;
+  // The latest era of the store; 0 if it states none.
+  uint64_t era = 0;
 
   friend bool operator==(const StoreCallCounts&,
                          const StoreCallCounts&) = default;
@@ -53,7 +57,9 @@
       cluster_state::ObjectKind kind,
       ReadFreshness freshness) = 0;
 
-  // Waits for changes after revision `from`, at most until `deadline`.
+  // Waits for changes after revision `from`, at most until `deadline`. If the
+  // store was restored from a copy since, `from` may denote another change now:
+  // the caller compares the era of the result.
   virtual boost::asio::awaitable<StateBatch> Watch(
       cluster_state::ObjectKind kind,
       uint64_t from,
--- a/src/libs/entry/store_watcher.cc
+++ b/src/libs/entry/store_watcher.cc
@@ -25,7 +25,7 @@
 StoreWatcher::StoreWatcher(boost::asio::io_context* context,
                            StateStore* store,
                            RetryGate* gate,
-                           RevisionFloor* floor,
+                           VersionFloor* floor,
                            cluster_state::ObjectKind kind,
                            const WatchTiming& timing,
                            cluster_state::ClusterState* cluster_state,
@@ -51,8 +51,7 @@
       telemetry::Log(telemetry::LogLevel::kInfo, "state",
                      "history is gone, listing anew",
                      {{"kind", KindToLabel(m_kind)}, {"reason", error.what()}});
-      m_watch_revision = 0;
-      m_needs_latest_list = true;
+      RequireLatestList();
       continue;
     } catch (const objects::ObjectStoreError& error) {
       failure = error.what();
@@ -69,18 +68,18 @@
 }
 
 boost::asio::awaitable<void> StoreWatcher::ListOrWatch() {
-  if (m_watch_revision == 0) {
+  if (m_watch_version.revision == 0) {
     co_await List();
     // Meanwhile the list of the reference kind arrives.
     co_await Sleep(m_timing.coalesce_delay);
     co_return;
   }
   if (std::exchange(m_is_list_unverified, false) &&
-      m_floor->IsStale(m_watch_revision)) {
+      m_floor->IsStale(m_watch_version)) {
     telemetry::Log(telemetry::LogLevel::kInfo, "state",
                    "list is stale, listing anew",
                    {{"kind", KindToLabel(m_kind)},
-                    {"revision", std::to_string(m_watch_revision)}});
+                    {"revision", std::to_string(m_watch_version.revision)}});
     m_needs_latest_list = true;
     co_await List();
   }
@@ -89,10 +88,22 @@
   const auto now = std::chrono::steady_clock::now();
   const auto deadline = m_failures > 0 ? now : now + m_timing.wait;
   const StateBatch batch =
-      co_await m_store->Watch(m_kind, m_watch_revision, deadline);
+      co_await m_store->Watch(m_kind, m_watch_version.revision, deadline);
   RecordSuccess();
+  const uint64_t known_era = m_cluster_state->listed_version(m_kind).era;
+  if (batch.version.era != m_watch_version.era ||
+      batch.version.era != known_era) {
+    telemetry::Log(telemetry::LogLevel::kWarning, "state",
+                   "store was restored from a copy, listing anew",
+                   {{"kind", KindToLabel(m_kind)},
+                    {"era", std::to_string(batch.version.era)},
+                    {"watched_era", std::to_string(m_watch_version.era)},
+                    {"known_era", std::to_string(known_era)}});
+    RequireLatestList();
+    co_return;
+  }
   Apply(batch, false);
-  m_watch_revision = std::max(m_watch_revision, batch.revision);
+  m_watch_version = std::max(m_watch_version, batch.version);
   co_await Sleep(m_timing.coalesce_delay);
 }
 
@@ -102,10 +113,10 @@
   const StateBatch batch = co_await m_store->List(m_kind, freshness);
   RecordSuccess();
   Apply(batch, true);
-  m_watch_revision = batch.revision;
+  m_watch_version = batch.version;
   m_is_list_unverified = freshness == ReadFreshness::kMayBeStale;
   if (freshness == ReadFreshness::kLatest) {
-    m_floor->Raise(batch.revision);
+    m_floor->Raise(batch.version);
   }
   m_needs_latest_list = m_kind == kReferenceKind;
 }
@@ -128,24 +139,30 @@
       std::visit([&](const auto& item) { m_cluster_state->Apply(item, now); },
                  entry);
     }
-    m_cluster_state->MarkListed(m_kind, batch.revision);
+    m_cluster_state->MarkListed(m_kind, batch.version);
   }
   if (is_list || m_cluster_state->generation() != generation_before) {
     telemetry::Log(telemetry::LogLevel::kInfo, "state",
                    is_list ? "list taken" : "changes taken",
                    {{"kind", KindToLabel(m_kind)},
                     {"objects", std::to_string(batch.entries.size())},
-                    {"revision", std::to_string(batch.revision)}});
+                    {"revision", std::to_string(batch.version.revision)},
+                    {"era", std::to_string(batch.version.era)}});
     m_on_change();
   }
 }
 
+void StoreWatcher::RequireLatestList() {
+  m_watch_version = {};
+  m_needs_latest_list = true;
+}
+
 void StoreWatcher::RecordFailure(const char* reason) {
   ++m_failures;
   if (m_failures == 1) {
     telemetry::Log(telemetry::LogLevel::kWarning, "state", "store lost",
                    {{"kind", KindToLabel(m_kind)},
-                    {"revision", std::to_string(m_watch_revision)},
+                    {"revision", std::to_string(m_watch_version.revision)},
                     {"reason", reason}});
   }
 }
@@ -174,7 +191,7 @@
         entries.push_back(*typed);
       }
     }
-    cluster_state->ApplyList(kind, entries, batch.revision, now);
+    cluster_state->ApplyList(kind, entries, batch.version, now);
   };
   switch (kind) {
     case cluster_state::ObjectKind::kConfiguration:
--- a/src/libs/entry/store_watcher.h
+++ b/src/libs/entry/store_watcher.h
@@ -2,8 +2,8 @@
 #define ENTRY_STORE_WATCHER_H_
 
 #include "entry/retry_gate.h"
-#include "entry/revision_floor.h"
 #include "entry/state_store.h"
+#include "entry/version_floor.h"
 #include "entry/watch_timing.h"
 
 #include <boost/asio/io_context.hpp>
@@ -40,7 +40,7 @@
   StoreWatcher(boost::asio::io_context* context,
                StateStore* store,
                RetryGate* gate,
-               RevisionFloor* floor,
+               VersionFloor* floor,
                cluster_state::ObjectKind kind,
                const WatchTiming& timing,
                cluster_state::ClusterState* cluster_state,
@@ -57,20 +57,22 @@
   boost::asio::awaitable<void> List();
   boost::asio::awaitable<void> Sleep(cluster_state::milliseconds delay);
   void Apply(const StateBatch& batch, bool is_list);
+  // The next call lists the latest data.
+  void RequireLatestList();
   void RecordFailure(const char* reason);
   void RecordSuccess();
 
   StateStore* m_store;
   RetryGate* m_gate;
-  RevisionFloor* m_floor;
+  VersionFloor* m_floor;
   cluster_state::ObjectKind m_kind;
   WatchTiming m_timing;
   cluster_state::ClusterState* m_cluster_state;
   std::function<void()> m_on_change;
   boost::asio::steady_timer m_timer;
   std::minstd_rand m_random;
-  // Revision to watch from; 0 if a list is needed first.
-  uint64_t m_watch_revision = 0;
+  // Version to watch from; revision 0 if a list is needed first.
+  cluster_state::StoreVersion m_watch_version;
   // The next list must return the latest data.
   bool m_needs_latest_list = false;
   // The last list may be stale and has not been compared with the floor yet.
--- /dev/null
+++ b/src/libs/entry/version_floor.h
@@ -0,0 +1,27 @@
+#ifndef ENTRY_VERSION_FLOOR_H_
+#define ENTRY_VERSION_FLOOR_H_
+
+#include <algorithm>
+
+#include "cluster_state/records.h"
+
+namespace poplarsail::entry {
+
+// The newest version that a list of the latest data has returned. An older list
+// is stale: upstreams in it may have left since.
+class VersionFloor {
+ public:
+  void Raise(const cluster_state::StoreVersion& version) {
+    m_version = std::max(m_version, version);
+  }
+  bool IsStale(const cluster_state::StoreVersion& version) const {
+    return version < m_version;
+  }
+
+ private:
+  cluster_state::StoreVersion m_version;
+};
+
+}  // namespace poplarsail::entry
+
+#endif  // ENTRY_VERSION_FLOOR_H_
--- a/src/tools/emulator/fleet.cc
+++ b/src/tools/emulator/fleet.cc
@@ -53,11 +53,11 @@
   }
   m_cluster_state.ApplyList<cluster_state::Configuration>(
       cluster_state::ObjectKind::kConfiguration, {{"main", 1, configuration}},
-      1, m_events->now());
+      {0, 1}, m_events->now());
   m_cluster_state.ApplyList<cluster_state::Evacuation>(
-      cluster_state::ObjectKind::kEvacuations, {}, 1, m_events->now());
+      cluster_state::ObjectKind::kEvacuations, {}, {0, 1}, m_events->now());
   m_cluster_state.ApplyList<cluster_state::UpstreamRecord>(
-      cluster_state::ObjectKind::kUpstreams, {}, 1, m_events->now());
+      cluster_state::ObjectKind::kUpstreams, {}, {0, 1}, m_events->now());
   for (size_t service = 0; service < scenario.services.size(); ++service) {
     for (size_t i = 0; i < scenario.services[service].upstreams; ++i) {
       AddUpstream(service, i % scenario.failure_domains, SteadyTime());
@@ -149,7 +149,7 @@
 }
 
 void Fleet::Tick() {
-  m_cluster_state.RemoveExpiredUpstreams(m_events->now());
+  m_cluster_state.RemoveExpired(m_events->now());
   for (const auto& host : m_hosts) {
     host->Update(m_cluster_state);
     host->Tick();
--- a/tests/auto/cluster_state/tst_cluster_state.cc
+++ b/tests/auto/cluster_state/tst_cluster_state.cc
@@ -47,7 +47,7 @@
   ClusterState cluster_state;
   cluster_state.Apply(Entry(1, 10), kStart);
   cluster_state.Apply(Removed(1, 12), kStart);
-  cluster_state.RemoveExpiredUpstreams(kStart + kUnregisteredGracePeriod);
+  cluster_state.RemoveExpired(kStart + kUnregisteredGracePeriod);
   REQUIRE(cluster_state.upstreams().empty());
   cluster_state.Apply(Entry(1, 11), kStart + kUnregisteredGracePeriod);
   CHECK(cluster_state.upstreams().empty());
@@ -86,28 +86,26 @@
 
   SECTION("it registers again within the grace period") {
     cluster_state.Apply(Entry(1, 12), kStart + 2s);
-    cluster_state.RemoveExpiredUpstreams(kStart + 10s);
+    cluster_state.RemoveExpired(kStart + 10s);
     REQUIRE(cluster_state.upstreams().contains("u1"));
     CHECK_FALSE(cluster_state.upstreams().at("u1").is_unregistered);
   }
   SECTION("a source with the same revision does not restore it") {
     cluster_state.Apply(Entry(1, 11), kStart + 2s);
-    cluster_state.RemoveExpiredUpstreams(kStart + 10s);
+    cluster_state.RemoveExpired(kStart + 10s);
     CHECK_FALSE(cluster_state.upstreams().contains("u1"));
   }
   SECTION("it does not register again") {
-    cluster_state.RemoveExpiredUpstreams(kStart + kUnregisteredGracePeriod -
-                                         1ms);
+    cluster_state.RemoveExpired(kStart + kUnregisteredGracePeriod - 1ms);
     CHECK(cluster_state.upstreams().contains("u1"));
-    cluster_state.RemoveExpiredUpstreams(kStart + kUnregisteredGracePeriod);
+    cluster_state.RemoveExpired(kStart + kUnregisteredGracePeriod);
     CHECK_FALSE(cluster_state.upstreams().contains("u1"));
   }
   SECTION("the grace period restarts when the store recovers") {
     cluster_state.OnStoreRecovered(kStart + 2s);
-    cluster_state.RemoveExpiredUpstreams(kStart + kUnregisteredGracePeriod);
+    cluster_state.RemoveExpired(kStart + kUnregisteredGracePeriod);
     CHECK(cluster_state.upstreams().contains("u1"));
-    cluster_state.RemoveExpiredUpstreams(kStart + 2s +
-                                         kUnregisteredGracePeriod);
+    cluster_state.RemoveExpired(kStart + 2s + kUnregisteredGracePeriod);
     CHECK_FALSE(cluster_state.upstreams().contains("u1"));
   }
 }
@@ -124,7 +122,7 @@
   CHECK(cluster_state.upstreams().at("u1").is_unregistered);
   CHECK(cluster_state.upstreams().at("u1").record.phase ==
         UpstreamPhase::kDraining);
-  cluster_state.RemoveExpiredUpstreams(kStart + kUnregisteredGracePeriod);
+  cluster_state.RemoveExpired(kStart + kUnregisteredGracePeriod);
   CHECK(cluster_state.upstreams().empty());
 }
 
@@ -137,7 +135,7 @@
   successor.value->endpoint = Entry(1, 10).value->endpoint;
   cluster_state.Apply(successor, kStart);
   CHECK_FALSE(cluster_state.upstreams().contains("u1"));
-  cluster_state.RemoveExpiredUpstreams(kStart + kUnregisteredGracePeriod);
+  cluster_state.RemoveExpired(kStart + kUnregisteredGracePeriod);
   CHECK(cluster_state.upstreams().contains("u2"));
 }
 
@@ -147,20 +145,42 @@
   cluster_state.Apply(Entry(2, 10), kStart);
   cluster_state.Apply(Entry(3, 30), kStart);
   const std::vector<ClusterState::UpstreamEntry> listed = {Entry(1, 10)};
-  cluster_state.ApplyList(ObjectKind::kUpstreams, listed, 20, kStart);
+  cluster_state.ApplyList(ObjectKind::kUpstreams, listed, {0, 20}, kStart);
   CHECK_FALSE(cluster_state.upstreams().at("u1").is_unregistered);
   CHECK(cluster_state.upstreams().at("u2").is_unregistered);
   // u3 was registered after the list was made.
   CHECK_FALSE(cluster_state.upstreams().at("u3").is_unregistered);
 }
 
+TEST_CASE("A list older than the last one does not return what has left") {
+  // A host that starts lists the store and queries its peers at the same time. A
+  // peer's older state would bring back an upstream that left in between, and no
+  // further event would remove it.
+  ClusterState cluster_state;
+  const std::vector<ClusterState::UpstreamEntry> latest = {Entry(1, 10)};
+  cluster_state.ApplyList(ObjectKind::kUpstreams, latest, {0, 40}, kStart);
+  const std::vector<ClusterState::UpstreamEntry> older = {Entry(1, 10),
+                                                          Entry(2, 20)};
+  SECTION("by a list") {
+    cluster_state.ApplyList(ObjectKind::kUpstreams, older, {0, 30}, kStart);
+  }
+  SECTION("by a single change") {
+    cluster_state.Apply(Entry(2, 20), kStart);
+  }
+  CHECK(cluster_state.upstreams().contains("u1"));
+  CHECK_FALSE(cluster_state.upstreams().contains("u2"));
+  CHECK(cluster_state.listed_version(ObjectKind::kUpstreams).revision == 40);
+  cluster_state.Apply(Entry(2, 41), kStart);
+  CHECK(cluster_state.upstreams().contains("u2"));
+}
+
 TEST_CASE("A list from a stale source does not undo a newer registration") {
   ClusterState cluster_state;
   cluster_state.Apply(Entry(1, 10), kStart);
   cluster_state.Apply(Removed(1, 20), kStart);
   cluster_state.Apply(Entry(1, 25), kStart);
   const std::vector<ClusterState::UpstreamEntry> stale = {};
-  cluster_state.ApplyList(ObjectKind::kUpstreams, stale, 22, kStart);
+  cluster_state.ApplyList(ObjectKind::kUpstreams, stale, {0, 22}, kStart);
   CHECK_FALSE(cluster_state.upstreams().at("u1").is_unregistered);
 }
 
@@ -183,12 +203,13 @@
   ClusterState cluster_state;
   cluster_state.ApplyList<Configuration>(
       ObjectKind::kConfiguration,
-      {ClusterState::ConfigurationEntry{"main", 5, MakeConfiguration(1)}}, 6,
-      kStart);
-  cluster_state.ApplyList<UpstreamRecord>(ObjectKind::kUpstreams, {}, 6,
+      {ClusterState::ConfigurationEntry{"main", 5, MakeConfiguration(1)}},
+      {0, 6}, kStart);
+  cluster_state.ApplyList<UpstreamRecord>(ObjectKind::kUpstreams, {}, {0, 6},
                                           kStart);
   CHECK_FALSE(cluster_state.IsComplete());
-  cluster_state.ApplyList<Evacuation>(ObjectKind::kEvacuations, {}, 6, kStart);
+  cluster_state.ApplyList<Evacuation>(ObjectKind::kEvacuations, {}, {0, 6},
+                                      kStart);
   CHECK(cluster_state.IsComplete());
 }
 
--- a/tests/auto/entry/tst_cluster_state_codec.cc
+++ b/tests/auto/entry/tst_cluster_state_codec.cc
@@ -25,7 +25,8 @@
   configuration.flow_idle_timeout = 15s;
   cluster_state.ApplyList<cluster_state::Configuration>(
       ObjectKind::kConfiguration,
-      {ClusterState::ConfigurationEntry{"main", 5, configuration}}, 9, kNow);
+      {ClusterState::ConfigurationEntry{"main", 5, configuration}}, {0, 9},
+      kNow);
   cluster_state::UpstreamRecord upstream;
   upstream.id = 0x1122334455667788;
   upstream.service = "tally";
@@ -35,12 +36,12 @@
   upstream.started_unix_ms = 1'700'000'000'000;
   cluster_state.ApplyList<cluster_state::UpstreamRecord>(
       ObjectKind::kUpstreams, {ClusterState::UpstreamEntry{"i-1", 7, upstream}},
-      9, kNow);
+      {0, 9}, kNow);
   cluster_state.ApplyList<cluster_state::Evacuation>(
       ObjectKind::kEvacuations,
       {ClusterState::EvacuationEntry{"brandon", 8,
                                      cluster_state::Evacuation{"brandon"}}},
-      9, kNow);
+      {0, 9}, kNow);
   return cluster_state;
 }
 
@@ -59,7 +60,7 @@
   CHECK(record.cold_until == later + 1500ms);
   CHECK(record.id == 0x1122334455667788);
   CHECK(record.started_unix_ms == 1'700'000'000'000);
-  CHECK(ListedRevisionsOf(receiver) == ListedRevisionsOf(sender));
+  CHECK(KnownVersionsOf(receiver) == KnownVersionsOf(sender));
 }
 
 TEST_CASE("An older state reverts no newer changes") {
@@ -143,17 +144,17 @@
   sender.Apply(ClusterState::UpstreamEntry{"i-1", 13, std::nullopt}, kNow);
   sender.Apply(ClusterState::EvacuationEntry{"brandon", 14, std::nullopt},
                kNow);
-  sender.MarkListed(ObjectKind::kUpstreams, 14);
-  sender.MarkListed(ObjectKind::kEvacuations, 14);
+  sender.MarkListed(ObjectKind::kUpstreams, {0, 14});
+  sender.MarkListed(ObjectKind::kEvacuations, {0, 14});
   const std::string full_message = EncodeClusterState(&sender, {}, {}, kNow);
   const std::string changes =
-      EncodeClusterState(&sender, ListedRevisionsOf(receiver), {}, kNow);
+      EncodeClusterState(&sender, KnownVersionsOf(receiver), {}, kNow);
   CHECK(changes.size() < full_message.size());
   MergeClusterState(changes, &receiver, kNow);
   CHECK(receiver.upstreams().contains("i-2"));
   CHECK(receiver.upstreams().at("i-1").is_unregistered);
   CHECK_FALSE(receiver.IsEvacuated("brandon"));
-  CHECK(ListedRevisionsOf(receiver) == ListedRevisionsOf(sender));
+  CHECK(KnownVersionsOf(receiver) == KnownVersionsOf(sender));
 }
 
 TEST_CASE("A message carries the fleet view without a cluster state") {
@@ -164,13 +165,125 @@
   CHECK(receiver.generation() == 0);
 }
 
-TEST_CASE("Listed revisions are converted to text and back") {
-  const ListedRevisions revisions = {1, 0, 4'000'000'000'000};
-  CHECK(ParseListedRevisions(ToText(revisions)) == revisions);
-  CHECK(ParseListedRevisions("7,x,9") == ListedRevisions{7, 0, 9});
-  CHECK(ParseListedRevisions("") == ListedRevisions{});
-  CHECK(IsNewer(MakeClusterState(), ListedRevisions{9, 8, 9}));
-  CHECK_FALSE(IsNewer(MakeClusterState(), ListedRevisions{9, 9, 9}));
+KnownVersions Known(uint64_t configuration,
+                    uint64_t upstreams,
+                    uint64_t evacuations,
+                    uint64_t era = 0) {
+  KnownVersions known;
+  known.listed = {cluster_state::StoreVersion{era, configuration},
+                  cluster_state::StoreVersion{era, upstreams},
+                  cluster_state::StoreVersion{era, evacuations}};
+  return known;
+}
+
+TEST_CASE("Known versions are converted to text and back") {
+  KnownVersions known = Known(1, 0, 4'000'000'000'000, 7);
+  known.configuration = 12;
+  CHECK(ParseKnownVersions(ToText(known)) == known);
+  // The text of earlier releases holds the revisions only.
+  CHECK(ParseKnownVersions("7,x,9") == Known(7, 0, 9));
+  CHECK(ParseKnownVersions("") == KnownVersions{});
+  CHECK(IsNewer(MakeClusterState(), Known(9, 8, 9)));
+  CHECK_FALSE(IsNewer(MakeClusterState(), Known(9, 9, 9)));
+  // A later era is newer whatever the revisions are.
+  CHECK_FALSE(IsNewer(MakeClusterState(), Known(1, 1, 1, 1)));
+}
+
+// The state of a host that listed the store after a restore from a copy without
+// the upstream and the evacuation of MakeClusterState().
+ClusterState MakeRestoredState() {
+  ClusterState restored;
+  cluster_state::Configuration configuration;
+  configuration.version = 2;
+  restored.ApplyList<cluster_state::Configuration>(
+      ObjectKind::kConfiguration,
+      {ClusterState::ConfigurationEntry{"main", 3, configuration}}, {1, 4},
+      kNow);
+  cluster_state::UpstreamRecord upstream;
+  upstream.id = 2;
+  restored.ApplyList<cluster_state::UpstreamRecord>(
+      ObjectKind::kUpstreams, {ClusterState::UpstreamEntry{"i-2", 4, upstream}},
+      {1, 4}, kNow);
+  restored.ApplyList<cluster_state::Evacuation>(ObjectKind::kEvacuations, {},
+                                                {1, 4}, kNow);
+  return restored;
+}
+
+TEST_CASE("A host learns of a restore of the store from a peer") {
+  const ClusterState restored = MakeRestoredState();
+  ClusterState receiver = MakeClusterState();
+  REQUIRE(IsNewer(restored, KnownVersionsOf(receiver)));
+  CHECK(NeedsAllUpstreams(restored, KnownVersionsOf(receiver)));
+  MergeClusterState(
+      EncodeClusterState(&restored, KnownVersionsOf(receiver), {}, kNow),
+      &receiver, kNow);
+  CHECK(KnownVersionsOf(receiver).listed == KnownVersionsOf(restored).listed);
+  CHECK(receiver.upstreams().contains("i-2"));
+  // What the copy lacks stays in force for now.
+  CHECK_FALSE(receiver.upstreams().at("i-1").is_unregistered);
+  CHECK(receiver.IsEvacuated("brandon"));
+  CHECK(receiver.configuration()->version == 3);
+}
+
+TEST_CASE("A message from before a restore changes nothing") {
+  const ClusterState old = MakeClusterState();
+  ClusterState receiver = MakeRestoredState();
+  const uint64_t generation = receiver.generation();
+  SECTION("a full state") {
+    MergeClusterState(EncodeClusterState(&old, {}, {}, kNow), &receiver, kNow);
+    // Only a newer configuration is taken, whatever its era.
+    CHECK(receiver.generation() == generation + 1);
+    CHECK(receiver.configuration()->version == 3);
+  }
+  SECTION("changes") {
+    MergeClusterState(EncodeClusterState(&old, Known(5, 4, 4), {}, kNow),
+                      &receiver, kNow);
+  }
+  CHECK_FALSE(receiver.upstreams().contains("i-1"));
+  CHECK_FALSE(receiver.IsEvacuated("brandon"));
+  CHECK(KnownVersionsOf(receiver).listed ==
+        KnownVersionsOf(MakeRestoredState()).listed);
+}
+
+TEST_CASE("Removals before a host's last list reach its peers") {
+  // The sender listed the store after the upstream had left and never knew it.
+  ClusterState receiver = MakeClusterState();
+  ClusterState sender;
+  sender.ApplyList<cluster_state::UpstreamRecord>(ObjectKind::kUpstreams, {},
+                                                  {0, 30}, kNow);
+  MergeClusterState(
+      EncodeClusterState(&sender, KnownVersionsOf(receiver), {}, kNow),
+      &receiver, kNow);
+  CHECK(receiver.upstreams().at("i-1").is_unregistered);
+}
+
+TEST_CASE("Changes of a later era need a complete list first") {
+  ClusterState sender = MakeRestoredState();
+  cluster_state::UpstreamRecord added;
+  added.id = 3;
+  sender.Apply(ClusterState::UpstreamEntry{"i-3", 5, added}, kNow);
+  sender.MarkListed(ObjectKind::kUpstreams, {1, 5});
+  ClusterState receiver = MakeClusterState();
+  MergeClusterState(EncodeClusterState(&sender, Known(4, 4, 4, 1), {}, kNow),
+                    &receiver, kNow);
+  CHECK(receiver.listed_version(ObjectKind::kUpstreams).era == 0);
+  CHECK_FALSE(receiver.upstreams().contains("i-3"));
+}
+
+TEST_CASE("The newest configuration in force spreads after a restore") {
+  // A host that starts after the restore lists the older configuration.
+  ClusterState veteran = MakeClusterState();
+  const ClusterState restored = MakeRestoredState();
+  MergeClusterState(EncodeClusterState(&restored, {}, {}, kNow), &veteran,
+                    kNow);
+  REQUIRE(veteran.configuration()->version == 3);
+  ClusterState newcomer = MakeRestoredState();
+  REQUIRE(IsNewer(veteran, KnownVersionsOf(newcomer)));
+  MergeClusterState(
+      EncodeClusterState(&veteran, KnownVersionsOf(newcomer), {}, kNow),
+      &newcomer, kNow);
+  CHECK(newcomer.configuration() == veteran.configuration());
+  CHECK_FALSE(IsNewer(veteran, KnownVersionsOf(newcomer)));
 }
 
 }  // namespace
--- a/tests/auto/entry/tst_peer_exchange.cc
+++ b/tests/auto/entry/tst_peer_exchange.cc
@@ -30,11 +30,12 @@
   configuration.version = 3;
   cluster_state->ApplyList<cluster_state::Configuration>(
       ObjectKind::kConfiguration,
-      {ClusterState::ConfigurationEntry{"main", 5, configuration}}, 9, kNow);
+      {ClusterState::ConfigurationEntry{"main", 5, configuration}}, {0, 9},
+      kNow);
   cluster_state->ApplyList<cluster_state::UpstreamRecord>(
-      ObjectKind::kUpstreams, {}, 9, kNow);
+      ObjectKind::kUpstreams, {}, {0, 9}, kNow);
   cluster_state->ApplyList<cluster_state::Evacuation>(ObjectKind::kEvacuations,
-                                                      {}, 9, kNow);
+                                                      {}, {0, 9}, kNow);
 }
 
 struct Host {
@@ -134,7 +135,7 @@
   newer.version = 4;
   seed.cluster_state.Apply(ClusterState::ConfigurationEntry{"main", 12, newer},
                            kNow);
-  seed.cluster_state.MarkListed(ObjectKind::kConfiguration, 12);
+  seed.cluster_state.MarkListed(ObjectKind::kConfiguration, {0, 12});
   RunUntil(&context,
            [&]() { return host.cluster_state.configuration()->version == 4; });
 }
--- a/tests/auto/entry/tst_store_watcher.cc
+++ b/tests/auto/entry/tst_store_watcher.cc
@@ -70,6 +70,7 @@
 StateEntry Upstream(uint64_t id, uint64_t revision) {
   cluster_state::UpstreamRecord record;
   record.id = id;
+  record.endpoint = {0x0a000000 + static_cast<uint32_t>(id), 8080};
   return ClusterState::UpstreamEntry{std::to_string(id), revision, record};
 }
 
@@ -96,34 +97,37 @@
   ClusterState cluster_state;
   int changes = 0;
   RetryGate gate{&context};
-  RevisionFloor floor;
+  VersionFloor floor;
   StoreWatcher watcher;
 };
 
 TEST_CASE("A list is followed by watches from its revision") {
   WatcherFixture fixture;
-  fixture.store.Then([](uint64_t) { return StateBatch{{Upstream(1, 5)}, 7}; });
+  fixture.store.Then([](uint64_t) {
+    return StateBatch{{Upstream(1, 5)}, {0, 7}};
+  });
   fixture.store.Then([](uint64_t from) {
     CHECK(from == 7);
-    return StateBatch{{Upstream(2, 9)}, 9};
+    return StateBatch{{Upstream(2, 9)}, {0, 9}};
   });
   fixture.store.Then([](uint64_t from) {
     CHECK(from == 9);
-    return StateBatch{{}, 12};
+    return StateBatch{{}, {0, 12}};
   });
   fixture.RunScript();
   CHECK(fixture.cluster_state.upstreams().size() == 2);
   CHECK(fixture.store.lists == 1);
   // A watch without changes does not call on_change.
   CHECK(fixture.changes == 2);
-  CHECK(fixture.cluster_state.listed_revision(ObjectKind::kUpstreams) == 12);
+  CHECK(fixture.cluster_state.listed_version(ObjectKind::kUpstreams).revision ==
+        12);
 }
 
 TEST_CASE(
     "After compaction the state is kept until the objects are listed again") {
   WatcherFixture fixture;
   fixture.store.Then([](uint64_t) {
-    return StateBatch{{Upstream(1, 5), Upstream(2, 6)}, 7};
+    return StateBatch{{Upstream(1, 5), Upstream(2, 6)}, {0, 7}};
   });
   fixture.store.Then([&fixture](uint64_t) -> StateBatch {
     CHECK(fixture.cluster_state.upstreams().size() == 2);
@@ -131,7 +135,7 @@
   });
   fixture.store.Then([&fixture](uint64_t) {
     CHECK(fixture.cluster_state.upstreams().size() == 2);
-    return StateBatch{{Upstream(1, 5)}, 20};
+    return StateBatch{{Upstream(1, 5)}, {0, 20}};
   });
   fixture.RunScript();
   CHECK(fixture.store.lists == 2);
@@ -140,7 +144,9 @@
 
 TEST_CASE("After an outage the watch resumes and the state is kept") {
   WatcherFixture fixture;
-  fixture.store.Then([](uint64_t) { return StateBatch{{Upstream(1, 5)}, 7}; });
+  fixture.store.Then([](uint64_t) {
+    return StateBatch{{Upstream(1, 5)}, {0, 7}};
+  });
   for (int i = 0; i < 3; ++i) {
     fixture.store.Then([](uint64_t) -> StateBatch {
       throw objects::UnavailableError("status 503");
@@ -149,7 +155,7 @@
   fixture.store.Then([&fixture](uint64_t from) {
     CHECK(from == 7);
     CHECK(fixture.cluster_state.upstreams().size() == 1);
-    return StateBatch{{Upstream(2, 9)}, 9};
+    return StateBatch{{Upstream(2, 9)}, {0, 9}};
   });
   fixture.RunScript();
   CHECK(fixture.store.lists == 1);
@@ -162,7 +168,9 @@
   // configuration changes (zlab-west trouble-1 --seed 382297189291, CONFIG).
   WatcherFixture fixture;
   const auto second = std::chrono::seconds(1);
-  fixture.store.Then([](uint64_t) { return StateBatch{{Upstream(1, 5)}, 7}; });
+  fixture.store.Then([](uint64_t) {
+    return StateBatch{{Upstream(1, 5)}, {0, 7}};
+  });
   fixture.store.Then([&](uint64_t) -> StateBatch {
     CHECK(fixture.store.last_wait > second);
     throw objects::UnknownOutcomeError("no response");
@@ -175,22 +183,69 @@
   }
   fixture.store.Then([&](uint64_t) {
     CHECK(fixture.store.last_wait <= std::chrono::seconds(0));
-    return StateBatch{{}, 9};
+    return StateBatch{{}, {0, 9}};
   });
   fixture.store.Then([&](uint64_t) {
     CHECK(fixture.store.last_wait > second);
-    return StateBatch{{}, 9};
+    return StateBatch{{}, {0, 9}};
+  });
+  fixture.RunScript();
+}
+
+TEST_CASE("After a restore of the store the latest data is listed") {
+  // The watched revision exists again by now, for another change, so the store
+  // does not refuse the watch.
+  WatcherFixture fixture;
+  fixture.store.Then([](uint64_t) {
+    return StateBatch{{Upstream(1, 5), Upstream(2, 6)}, {1, 20}};
+  });
+  fixture.store.Then([](uint64_t from) {
+    CHECK(from == 20);
+    return StateBatch{{Upstream(3, 21)}, {2, 21}};
+  });
+  fixture.store.Then([&fixture](uint64_t) {
+    CHECK(fixture.store.last_freshness == ReadFreshness::kLatest);
+    CHECK_FALSE(fixture.cluster_state.upstreams().contains("3"));
+    return StateBatch{{Upstream(1, 5), Upstream(3, 21)}, {2, 21}};
+  });
+  fixture.store.Then([&fixture](uint64_t from) {
+    CHECK(from == 21);
+    // The copy lacks upstream 2, which should register again.
+    CHECK_FALSE(fixture.cluster_state.upstreams().at("2").is_unregistered);
+    return StateBatch{{Upstream(2, 22)}, {2, 22}};
   });
   fixture.RunScript();
+  CHECK(fixture.cluster_state.upstreams().size() == 3);
+}
+
+TEST_CASE("A watch from before a restore that a peer reported is dropped") {
+  WatcherFixture fixture;
+  fixture.store.Then([](uint64_t) {
+    return StateBatch{{Upstream(1, 5)}, {1, 20}};
+  });
+  fixture.store.Then([&fixture](uint64_t) {
+    fixture.cluster_state.ApplyList<cluster_state::UpstreamRecord>(
+        ObjectKind::kUpstreams, {}, {2, 9}, cluster_state::SteadyTime());
+    return StateBatch{{Upstream(3, 21)}, {1, 21}};
+  });
+  fixture.store.Then([&fixture](uint64_t) {
+    CHECK_FALSE(fixture.cluster_state.upstreams().contains("3"));
+    return StateBatch{{Upstream(1, 5)}, {2, 12}};
+  });
+  fixture.RunScript();
+  CHECK(fixture.cluster_state.listed_version(ObjectKind::kUpstreams) ==
+        cluster_state::StoreVersion{2, 12});
 }
 
 TEST_CASE("A stale response does not move the watch revision back") {
   WatcherFixture fixture;
-  fixture.store.Then([](uint64_t) { return StateBatch{{Upstream(1, 5)}, 20}; });
-  fixture.store.Then([](uint64_t) { return StateBatch{{}, 12}; });
+  fixture.store.Then([](uint64_t) {
+    return StateBatch{{Upstream(1, 5)}, {0, 20}};
+  });
+  fixture.store.Then([](uint64_t) { return StateBatch{{}, {0, 12}}; });
   fixture.store.Then([](uint64_t from) {
     CHECK(from == 20);
-    return StateBatch{{}, 21};
+    return StateBatch{{}, {0, 21}};
   });
   fixture.RunScript();
   CHECK(fixture.store.watches == 3);
@@ -203,16 +258,16 @@
   fixture.store.Then([&fixture](uint64_t) {
     CHECK(fixture.store.last_freshness == ReadFreshness::kMayBeStale);
     // The list of the reference kind arrives at the same time.
-    fixture.floor.Raise(9);
-    return StateBatch{{Upstream(1, 5), Upstream(2, 6)}, 7};
+    fixture.floor.Raise({0, 9});
+    return StateBatch{{Upstream(1, 5), Upstream(2, 6)}, {0, 7}};
   });
   fixture.store.Then([&fixture](uint64_t) {
     CHECK(fixture.store.last_freshness == ReadFreshness::kLatest);
-    return StateBatch{{Upstream(1, 5)}, 9};
+    return StateBatch{{Upstream(1, 5)}, {0, 9}};
   });
   fixture.store.Then([](uint64_t from) {
     CHECK(from == 9);
-    return StateBatch{{}, 12};
+    return StateBatch{{}, {0, 12}};
   });
   fixture.RunScript();
   CHECK(fixture.store.lists == 2);
@@ -222,12 +277,14 @@
 TEST_CASE("After compaction the latest data is listed") {
   // A stale list could lead to a revision whose history is gone again.
   WatcherFixture fixture;
-  fixture.store.Then([](uint64_t) { return StateBatch{{Upstream(1, 5)}, 7}; });
+  fixture.store.Then([](uint64_t) {
+    return StateBatch{{Upstream(1, 5)}, {0, 7}};
+  });
   fixture.store.Then(
       [](uint64_t) -> StateBatch { throw objects::CompactedError("gone"); });
   fixture.store.Then([&fixture](uint64_t) {
     CHECK(fixture.store.last_freshness == ReadFreshness::kLatest);
-    return StateBatch{{Upstream(1, 5)}, 20};
+    return StateBatch{{Upstream(1, 5)}, {0, 20}};
   });
   fixture.RunScript();
 }
--- a/tests/auto/flows/flow_fixture.h
+++ b/tests/auto/flows/flow_fixture.h
@@ -29,9 +29,9 @@
         {"sheets", kArchiveListener, {{"archive", 1}}}};
     ApplyConfiguration();
     cluster_state.ApplyList<cluster_state::Evacuation>(
-        cluster_state::ObjectKind::kEvacuations, {}, 1, now);
+        cluster_state::ObjectKind::kEvacuations, {}, {0, 1}, now);
     cluster_state.ApplyList<cluster_state::UpstreamRecord>(
-        cluster_state::ObjectKind::kUpstreams, {}, 1, now);
+        cluster_state::ObjectKind::kUpstreams, {}, {0, 1}, now);
     Update();
   }
 
@@ -80,7 +80,8 @@
     const cluster_state::ClusterState::ConfigurationEntry entry{
         "main", ++m_revision, m_configuration};
     cluster_state.ApplyList<cluster_state::Configuration>(
-        cluster_state::ObjectKind::kConfiguration, {entry}, m_revision, now);
+        cluster_state::ObjectKind::kConfiguration, {entry}, {0, m_revision},
+        now);
     Update();
   }
 
--- a/tests/auto/flows/tst_routing_table.cc
+++ b/tests/auto/flows/tst_routing_table.cc
@@ -54,7 +54,7 @@
         break;
       case 2:
         fixture.now += cluster_state::kUnregisteredGracePeriod / 2;
-        fixture.cluster_state.RemoveExpiredUpstreams(fixture.now);
+        fixture.cluster_state.RemoveExpired(fixture.now);
         break;
       case 3:
         fixture.Evacuate(random() % 10 == 0 ? "regina" : "brandon");
--- a/tests/auto/flows/tst_steering.cc
+++ b/tests/auto/flows/tst_steering.cc
@@ -49,7 +49,7 @@
   SECTION("an upstream of another service takes over the address") {
     fixture.RemoveUpstream(1);
     fixture.now += cluster_state::kUnregisteredGracePeriod;
-    fixture.cluster_state.RemoveExpiredUpstreams(fixture.now);
+    fixture.cluster_state.RemoveExpired(fixture.now);
     auto successor = FlowFixture::MakeUpstream(3, "archive", "regina");
     successor.endpoint =
         FlowFixture::MakeUpstream(1, "tally", "regina").endpoint;
--- a/tests/auto/platform/tst_http_state_store.cc
+++ b/tests/auto/platform/tst_http_state_store.cc
@@ -73,7 +73,7 @@
   const entry::StateBatch batch = fixture.Await(fixture.state.List(
       ObjectKind::kUpstreams, entry::ReadFreshness::kLatest));
   CHECK(batch.entries.size() == 5);
-  CHECK(batch.revision == fixture.store.revision());
+  CHECK(batch.version.revision == fixture.store.revision());
   CHECK(fixture.store.call_count() == 3);
 }
 
@@ -120,6 +120,76 @@
   CHECK(fixture.state.counts().malformed_objects == 2);
 }
 
+TEST_CASE("A store that is restored from a copy states a new era") {
+  StoreFixture fixture;
+  const auto list = [&fixture]() {
+    return fixture.Await(fixture.state.List(ObjectKind::kUpstreams,
+                                            entry::ReadFreshness::kLatest));
+  };
+  fixture.store.set_era(1);
+  fixture.store.Put("servers", "i-1", UpstreamSpec("ready"));
+  fixture.store.TakeSnapshot();
+  fixture.store.Put("servers", "i-2", UpstreamSpec("ready"));
+  const entry::StateBatch before = list();
+  CHECK(before.version.era == 1);
+  fixture.store.Restore();
+  // The connection was reset.
+  CHECK_THROWS_AS(list(), objects::UnknownOutcomeError);
+  SECTION("the watched revision is gone") {
+    CHECK_THROWS_AS(
+        fixture.Await(fixture.state.Watch(
+            ObjectKind::kUpstreams, before.version.revision, FromNow(1s))),
+        objects::CompactedError);
+  }
+  SECTION("the watched revision was given out again") {
+    fixture.store.Put("servers", "i-3", UpstreamSpec("ready"));
+    REQUIRE(fixture.store.revision() == before.version.revision);
+    CHECK(
+        fixture
+            .Await(fixture.state.Watch(ObjectKind::kUpstreams,
+                                       before.version.revision, FromNow(50ms)))
+            .version.era == 2);
+  }
+  CHECK(fixture.state.counts().era == 2);
+  const entry::StateBatch after = list();
+  CHECK(after.version.era == 2);
+  CHECK(after.version.revision <= before.version.revision);
+}
+
+TEST_CASE("Pages of two eras are no list") {
+  StoreFixture fixture;
+  fixture.store.set_era(1);
+  fixture.store.set_page_size(1);
+  fixture.store.Put("servers", "i-1", UpstreamSpec("ready"));
+  fixture.store.Put("servers", "i-2", UpstreamSpec("ready"));
+  fixture.store.set_on_call(
+      [&fixture](uint64_t call) { fixture.store.set_era(call == 1 ? 1 : 2); });
+  CHECK_THROWS_AS(
+      fixture.Await(fixture.state.List(ObjectKind::kUpstreams,
+                                       entry::ReadFreshness::kMayBeStale)),
+      objects::UnavailableError);
+}
+
+TEST_CASE("A response with an unusable era is not used") {
+  StoreFixture fixture;
+  const auto list = [&fixture]() {
+    return fixture.Await(fixture.state.List(ObjectKind::kUpstreams,
+                                            entry::ReadFreshness::kLatest));
+  };
+  fixture.store.set_era(3);
+  list();
+  SECTION("it falls") {
+    fixture.store.set_era(2);
+  }
+  SECTION("it is missing") {
+    fixture.store.set_era(0);
+  }
+  CHECK_THROWS_AS(list(), objects::UnavailableError);
+  CHECK(fixture.state.counts().unusable_eras == 1);
+  fixture.store.set_era(3);
+  CHECK_NOTHROW(list());
+}
+
 TEST_CASE("Refused calls and lost responses have different errors") {
   StoreFixture fixture;
   SECTION("history was compacted") {
--- a/tests/standins/fake_platform_store.cc
+++ b/tests/standins/fake_platform_store.cc
@@ -109,6 +109,28 @@
   m_history.clear();
 }
 
+void FakePlatformStore::TakeSnapshot() {
+  m_snapshot = {m_objects, m_revision};
+}
+
+void FakePlatformStore::Restore() {
+  m_objects = m_snapshot.objects;
+  m_revision = m_snapshot.revision;
+  m_compacted_revision = m_revision;
+  m_history.clear();
+  m_watches.clear();
+  ++m_era;
+  for (const std::weak_ptr<Session>& weak : std::exchange(m_sessions, {})) {
+    if (const std::shared_ptr<Session> session = weak.lock()) {
+      session->timer.cancel();
+      boost::system::error_code ignored;
+      session->stream.socket().set_option(
+          boost::asio::socket_base::linger(true, 0), ignored);
+      session->stream.socket().close(ignored);
+    }
+  }
+}
+
 bool FakePlatformStore::Contains(const std::string& kind,
                                  const std::string& name) const {
   const auto found = m_objects.find(kind);
@@ -127,7 +149,11 @@
       return;
     }
     AcceptNext();
-    ReadNext(std::make_shared<Session>(std::move(socket)));
+    const auto session = std::make_shared<Session>(std::move(socket));
+    std::erase_if(m_sessions,
+                  [](const auto& other) { return other.expired(); });
+    m_sessions.push_back(session);
+    ReadNext(session);
   });
 }
 
@@ -143,6 +169,9 @@
 
 void FakePlatformStore::Serve(const std::shared_ptr<Session>& session) {
   ++m_call_count;
+  if (m_on_call) {
+    m_on_call(m_call_count);
+  }
   const Target target = ParseTarget(std::string(session->request.target()));
   const bool is_read = session->request.method() == http::verb::get;
   switch (m_mode) {
@@ -186,6 +215,9 @@
   session->response.result(status);
   session->response.keep_alive(session->request.keep_alive());
   session->response.set(http::field::content_type, "application/json");
+  if (m_era > 0) {
+    session->response.set("Store-Era", std::to_string(m_era));
+  }
   session->response.body() = body.dump();
   session->response.prepare_payload();
   http::async_write(session->stream, session->response,
@@ -219,7 +251,7 @@
                                    const std::string& kind,
                                    uint64_t from_revision,
                                    uint64_t wait_ms) {
-  if (from_revision < m_compacted_revision) {
+  if (from_revision < m_compacted_revision || from_revision > m_revision) {
     return Respond(session, 410, json::object());
   }
   const json events = EventsAfter(kind, from_revision);
--- a/tests/standins/fake_platform_store.h
+++ b/tests/standins/fake_platform_store.h
@@ -52,9 +52,23 @@
   // Drops the event history: watches from an earlier revision get status 410.
   void Compact();
 
+  // Copies the objects and the revision, for a later restore.
+  void TakeSnapshot();
+  // Goes back to the snapshot: all connections are reset, revisions repeat, the
+  // era rises by one, and watches from a revision that the store does not have
+  // get status 410.
+  void Restore();
+  // The era that responses state; 0 to state none.
+  void set_era(uint64_t era) { m_era = era; }
+  uint64_t era() const { return m_era; }
+
   bool Contains(const std::string& kind, const std::string& name) const;
   nlohmann::json Spec(const std::string& kind, const std::string& name) const;
   uint64_t revision() const { return m_revision; }
+  // Sets a callback that gets the number of each call before it is served.
+  void set_on_call(std::function<void(uint64_t)> on_call) {
+    m_on_call = std::move(on_call);
+  }
   uint64_t call_count() const { return m_call_count; }
 
  private:
@@ -98,9 +112,17 @@
   std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
   std::vector<Event> m_history;
   std::list<Watch> m_watches;
+  struct Snapshot {
+    std::map<std::string, std::map<std::string, nlohmann::json>> objects;
+    uint64_t revision = 1;
+  };
+  Snapshot m_snapshot;
+  std::list<std::weak_ptr<Session>> m_sessions;
+  uint64_t m_era = 0;
   uint64_t m_revision = 1;
   uint64_t m_compacted_revision = 0;
   uint64_t m_call_count = 0;
+  std::function<void(uint64_t)> m_on_call;
 };
 
 }  // namespace poplarsail::standins
