Learn from responses how long upstreams may take

The time-outs that judge an upstream were constants made for work of 20 ms in domains 4 ms apart. A service whose work takes longer than a client's retransmission was called dead by the retransmissions alone and its flows were reset; one with long work was checked for each request; to a domain 40 ms away each SYN went to a second upstream, and each check failed.

The 97th percentile of handshakes by failure domain and of responses by service, with half as much again, now sets them, within bounds; before there are samples they are generous. A request counts as overdue from its last packet on, so that an upload is not checked for each of its packets.

Ruled out: mean and deviation as TCP has them (one response after a partition would prolong the time-out to its maximum for seconds).

--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -189,7 +189,8 @@
   m_checker.Check(upstream.record.id, upstream.record.endpoint,
                   reference == nullptr
                       ? std::nullopt
-                      : std::optional(reference->record.endpoint));
+                      : std::optional(reference->record.endpoint),
+                  m_steering->ConnectTimeout(upstream, reference));
 }
 
 void PacketLoop::RunDueChecks() {
@@ -267,8 +268,8 @@
   ++m_counts.by_reason[static_cast<size_t>(decision.reason)];
   LogDecision(*packet, decision);
   Execute(*packet, decision, datagram);
-  if (decision.expects_response) {
-    m_pending_responses.Add(*packet, datagram, now);
+  if (decision.response_deadline) {
+    m_pending_responses.Add(*packet, datagram, *decision.response_deadline);
   }
   if (decision.action == flows::Action::kHold) {
     Hold(datagram, now);
--- a/src/libs/entry/upstream_checker.cc
+++ b/src/libs/entry/upstream_checker.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
+#include <vector>
 
 namespace poplarsail::entry {
 
@@ -20,7 +21,8 @@
   uint64_t upstream_id = 0;
   model::Ipv4Endpoint endpoint;
   std::optional<model::Ipv4Endpoint> reference;
-  int attempts_left = kConnectAttempts;
+  // The deadlines of the attempts that are left, the next one last.
+  std::vector<std::chrono::steady_clock::time_point> deadlines;
   // The reference accepted or refused the connection.
   bool has_reference_responded = false;
 };
@@ -52,10 +54,10 @@
                                  Callback callback)
     : m_context(context), m_callback(std::move(callback)) {}
 
-void UpstreamChecker::Check(
-    uint64_t upstream_id,
-    const model::Ipv4Endpoint& endpoint,
-    const std::optional<model::Ipv4Endpoint>& reference) {
+void UpstreamChecker::Check(uint64_t upstream_id,
+                            const model::Ipv4Endpoint& endpoint,
+                            const std::optional<model::Ipv4Endpoint>& reference,
+                            std::chrono::milliseconds connect_timeout) {
   if (m_running_checks >= kMaxChecks) {
     return;
   }
@@ -64,18 +66,23 @@
   check->upstream_id = upstream_id;
   check->endpoint = endpoint;
   check->reference = reference;
+  const auto now = std::chrono::steady_clock::now();
+  for (int attempt = kConnectAttempts; attempt > 0; --attempt) {
+    check->deadlines.push_back(now + attempt * connect_timeout);
+  }
   StartAttempt(check);
 }
 
 void UpstreamChecker::StartAttempt(const std::shared_ptr<PendingCheck>& check) {
-  --check->attempts_left;
-  ConnectTo(check->endpoint, [this, check](CheckResult result) {
+  const auto deadline = check->deadlines.back();
+  check->deadlines.pop_back();
+  ConnectTo(check->endpoint, deadline, [this, check](CheckResult result) {
     HandleAttemptResult(check, result);
   });
   // Started after the attempt; the result counts only if it is known by the end
   // of the attempt.
-  if (check->attempts_left == 0 && check->reference) {
-    ConnectTo(*check->reference, [check](CheckResult result) {
+  if (check->deadlines.empty() && check->reference) {
+    ConnectTo(*check->reference, deadline, [check](CheckResult result) {
       check->has_reference_responded =
           result == CheckResult::kConnected || result == CheckResult::kRefused;
     });
@@ -83,6 +90,7 @@
 }
 
 void UpstreamChecker::ConnectTo(const model::Ipv4Endpoint& endpoint,
+                                std::chrono::steady_clock::time_point deadline,
                                 std::function<void(CheckResult)> done) {
   auto attempt = std::make_shared<Attempt>(m_context, std::move(done));
   const model::Endpoint target = model::ToEndpoint(endpoint);
@@ -94,7 +102,7 @@
                         : is_refused ? CheckResult::kRefused
                                      : CheckResult::kNoResponse);
       });
-  attempt->timer.expires_after(kConnectTimeout);
+  attempt->timer.expires_at(deadline);
   attempt->timer.async_wait([attempt](const boost::system::error_code& error) {
     if (error) {
       return;
@@ -109,7 +117,7 @@
 void UpstreamChecker::HandleAttemptResult(
     const std::shared_ptr<PendingCheck>& check,
     CheckResult result) {
-  if (result == CheckResult::kNoResponse && check->attempts_left > 0) {
+  if (result == CheckResult::kNoResponse && !check->deadlines.empty()) {
     StartAttempt(check);
     return;
   }
--- a/src/libs/entry/upstream_checker.h
+++ b/src/libs/entry/upstream_checker.h
@@ -12,9 +12,6 @@
 
 namespace poplarsail::entry {
 
-// Connections are accepted within a round trip, 10 ms between the farthest
-// failure domains; the rest of the timeout allows for busy hosts.
-inline constexpr std::chrono::milliseconds kConnectTimeout{45};
 // Consecutive connection attempts without a response after which a check fails.
 // A single one may be due to a lost packet.
 inline constexpr int kConnectAttempts = 2;
@@ -36,18 +33,21 @@
 
   UpstreamChecker(boost::asio::io_context* context, Callback callback);
 
-  // If `reference`, another upstream that should respond, does not respond
-  // either, the result is kInconclusive: when this host's own link or CPU is
-  // overloaded, all responses are late.
+  // Each connection may take `connect_timeout`. If `reference`, another
+  // upstream that should respond, does not respond either, the result is
+  // kInconclusive: when this host's own link or CPU is overloaded, all
+  // responses are late.
   void Check(uint64_t upstream_id,
              const model::Ipv4Endpoint& endpoint,
-             const std::optional<model::Ipv4Endpoint>& reference);
+             const std::optional<model::Ipv4Endpoint>& reference,
+             std::chrono::milliseconds connect_timeout);
 
  private:
   struct PendingCheck;
   struct Attempt;
   void StartAttempt(const std::shared_ptr<PendingCheck>& check);
   void ConnectTo(const model::Ipv4Endpoint& endpoint,
+                 std::chrono::steady_clock::time_point deadline,
                  std::function<void(CheckResult)> done);
   void HandleAttemptResult(const std::shared_ptr<PendingCheck>& check,
                            CheckResult result);
--- a/src/libs/flows/flow_table.h
+++ b/src/libs/flows/flow_table.h
@@ -20,6 +20,10 @@
   // When the last SYN or packet with new data was forwarded. For a flow with an
   // unknown tag, when its first packet arrived.
   SteadyTime awaiting_response_since;
+  // When the response is overdue.
+  SteadyTime response_deadline;
+  // When the SYN was sent to the previous upstream.
+  SteadyTime previous_sent;
   bool is_awaiting_response = false;
   bool is_established = false;
   // The overdue response was already counted as a timeout of the upstream.
--- a/src/libs/flows/flows.h
+++ b/src/libs/flows/flows.h
@@ -8,6 +8,7 @@
 #include "flows/local_first_placement.h"
 #include "flows/pending_responses.h"
 #include "flows/placement.h"
+#include "flows/response_timeouts.h"
 #include "flows/routing_table.h"
 #include "flows/stall_detector.h"
 #include "flows/steering.h"
--- a/src/libs/flows/pending_responses.cc
+++ b/src/libs/flows/pending_responses.cc
@@ -5,14 +5,12 @@
 
 namespace poplarsail::flows {
 
-namespace {
-
-std::optional<PendingResponse> PopFirstExpired(
-    std::deque<PendingResponse>* queue,
+std::optional<PendingResponse> PendingResponses::PopFirstExpired(
+    Queue* queue,
     SteadyTime now) {
-  while (!queue->empty() && queue->front().deadline <= now) {
-    PendingResponse due = std::move(queue->front());
-    queue->pop_front();
+  while (!queue->empty() && queue->begin()->first <= now) {
+    PendingResponse due = std::move(queue->begin()->second);
+    queue->erase(queue->begin());
     if (now - due.deadline < kMaxTimerDelay) {
       return due;
     }
@@ -20,23 +18,20 @@
   return std::nullopt;
 }
 
-}  // namespace
-
 void PendingResponses::Add(const FlowPacket& packet,
                            std::span<const uint8_t> datagram,
-                           SteadyTime now) {
-  std::deque<PendingResponse>& queue = packet.is_syn ? m_syns : m_requests;
+                           SteadyTime deadline) {
+  Queue& queue = packet.is_syn ? m_syns : m_requests;
   if (queue.size() >= kMaxPendingResponses) {
     return;
   }
   PendingResponse pending;
-  pending.deadline =
-      now + (packet.is_syn ? kSynResponseTimeout : kRequestResponseTimeout);
+  pending.deadline = deadline;
   pending.packet = packet;
   if (packet.is_syn) {
     pending.datagram.assign(datagram.begin(), datagram.end());
   }
-  queue.push_back(std::move(pending));
+  queue.emplace(deadline, std::move(pending));
 }
 
 std::optional<PendingResponse> PendingResponses::PopExpired(SteadyTime now) {
@@ -50,7 +45,7 @@
     if (queue->empty()) {
       continue;
     }
-    const SteadyTime deadline = queue->front().deadline;
+    const SteadyTime deadline = queue->begin()->first;
     next = next ? std::min(*next, deadline) : deadline;
   }
   return next;
--- a/src/libs/flows/pending_responses.h
+++ b/src/libs/flows/pending_responses.h
@@ -2,7 +2,7 @@
 #define FLOWS_PENDING_RESPONSES_H_
 
 #include <cstdint>
-#include <deque>
+#include <map>
 #include <optional>
 #include <span>
 #include <vector>
@@ -12,12 +12,6 @@
 
 namespace poplarsail::flows {
 
-// The response to a SYN takes one round trip: 15 ms between the farthest
-// failure domains, plus as much again for a busy host.
-inline constexpr milliseconds kSynResponseTimeout{50};
-// Time to the first packet of the response to a request. 99% of requests take
-// less time (20 ms of work, at most 120 ms).
-inline constexpr milliseconds kRequestResponseTimeout{100};
 // Maximum number of responses tracked at the same time, for SYNs and requests
 // each. Further ones are not tracked.
 inline constexpr size_t kMaxPendingResponses = 4'096;
@@ -40,7 +34,7 @@
  public:
   void Add(const FlowPacket& packet,
            std::span<const uint8_t> datagram,
-           SteadyTime now);
+           SteadyTime deadline);
 
   // Removes and returns the next entry whose deadline has passed, or returns
   // nullopt if there is none. Discards entries that are checked kMaxTimerDelay
@@ -51,9 +45,13 @@
   std::optional<SteadyTime> NextDeadline() const;
 
  private:
-  // Each queue has a single timeout, so its entries are ordered by deadline.
-  std::deque<PendingResponse> m_syns;
-  std::deque<PendingResponse> m_requests;
+  using Queue = std::multimap<SteadyTime, PendingResponse>;
+
+  static std::optional<PendingResponse> PopFirstExpired(Queue* queue,
+                                                        SteadyTime now);
+
+  Queue m_syns;
+  Queue m_requests;
 };
 
 }  // namespace poplarsail::flows
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -5,8 +5,6 @@
 #include <cstdlib>
 #include <utility>
 
-#include "flows/pending_responses.h"
-
 namespace poplarsail::flows {
 
 std::string_view ToString(Reason reason) {
@@ -70,22 +68,23 @@
     return {Action::kReset, Reason::kNoUpstream};
   }
   chosen->liveness.RecordAttempt(now);
+  const milliseconds syn_timeout =
+      m_response_timeouts.SynTimeout(chosen->record.failure_domain);
   if (flow != nullptr) {
     if (!is_retransmit) {
       DetachFlow(*flow);
       *flow = FlowRecord{};
     }
     flow->previous_upstream_id = is_retransmit ? flow->upstream_id : 0;
+    flow->previous_sent = flow->awaiting_response_since;
     AttachFlow(flow, chosen);
     flow->last_packet = now;
-    flow->awaiting_response_since = now;
-    SetAwaitingResponse(flow, chosen, true);
-    flow->is_timeout_recorded = false;
+    AwaitResponse(flow, chosen, syn_timeout, now);
     flow->sequence_end = packet.sequence + 1;
   }
   return {Action::kForward,
           is_retransmit ? Reason::kPlacedAgain : Reason::kPlaced, chosen,
-          MakeTag(packet.key.listener, chosen->tag_base), true};
+          MakeTag(packet.key.listener, chosen->tag_base), now + syn_timeout};
 }
 
 Decision Steering::DecideTagged(const FlowPacket& packet, SteadyTime now) {
@@ -96,13 +95,13 @@
   }
   FlowRecord* flow = m_flows.FindOrCreate(packet.key);
   upstream = FindPinnedUpstream(packet, flow, upstream);
-  const bool expects_response =
-      flow != nullptr && TrackPacket(packet, flow, upstream, now);
+  const auto response_deadline =
+      flow == nullptr ? std::nullopt : TrackPacket(packet, flow, upstream, now);
   if (IsPresumedDead(*upstream, now) && !packet.is_rst) {
     return {Action::kReset, Reason::kUpstreamDead, upstream};
   }
   return {Action::kForward, Reason::kTagged, upstream,
-          MakeTag(listener, upstream->tag_base), expects_response};
+          MakeTag(listener, upstream->tag_base), response_deadline};
 }
 
 Upstream* Steering::FindPinnedUpstream(const FlowPacket& packet,
@@ -178,11 +177,20 @@
   return fallback;
 }
 
-bool Steering::TrackPacket(const FlowPacket& packet,
-                           FlowRecord* flow,
-                           Upstream* upstream,
-                           SteadyTime now) {
+std::optional<SteadyTime> Steering::TrackPacket(const FlowPacket& packet,
+                                                FlowRecord* flow,
+                                                Upstream* upstream,
+                                                SteadyTime now) {
   const bool is_new_flow = flow->upstream_id != upstream->record.id;
+  // The upstream that got the SYN first responded after all, late.
+  const bool is_late_handshake =
+      is_new_flow && !flow->is_established && flow->previous_upstream_id != 0 &&
+      flow->previous_upstream_id == upstream->record.id;
+  if (is_late_handshake) {
+    m_response_timeouts.RecordHandshake(upstream->record.failure_domain,
+                                        now - flow->previous_sent);
+    upstream->liveness.RecordResponse(now);
+  }
   if (is_new_flow) {
     DetachFlow(*flow);
     *flow = FlowRecord{};
@@ -208,9 +216,9 @@
        static_cast<int32_t>(end - flow->sequence_end) > 0);
   if (has_new_data) {
     flow->sequence_end = end;
-    SetAwaitingResponse(flow, upstream, true);
-    flow->is_timeout_recorded = false;
-    flow->awaiting_response_since = now;
+    AwaitResponse(flow, upstream,
+                  m_response_timeouts.RequestTimeout(upstream->record.service),
+                  now);
   } else if (packet.data_bytes > 0 && flow->is_awaiting_response) {
     RecordFlowTimeout(flow, now);
   }
@@ -219,18 +227,26 @@
   if (packet.is_fin || packet.is_rst) {
     DetachFlow(*flow);
     m_flows.Erase(packet.key);
-    return false;
+    return std::nullopt;
   }
-  return has_new_data;
+  return has_new_data ? std::optional(flow->response_deadline) : std::nullopt;
+}
+
+void Steering::AwaitResponse(FlowRecord* flow,
+                             Upstream* upstream,
+                             milliseconds timeout,
+                             SteadyTime now) {
+  SetAwaitingResponse(flow, upstream, true);
+  flow->is_timeout_recorded = false;
+  flow->awaiting_response_since = now;
+  flow->response_deadline = now + timeout;
 }
 
 void Steering::RecordFlowTimeout(FlowRecord* flow, SteadyTime now) {
-  if (flow->is_timeout_recorded ||
-      now - flow->awaiting_response_since < kFlowResponseTimeout) {
-    return;
-  }
   Upstream* upstream = m_routing_table.FindUpstream(flow->upstream_id);
-  if (upstream == nullptr) {
+  if (upstream == nullptr || flow->is_timeout_recorded ||
+      now - flow->awaiting_response_since <
+          m_response_timeouts.FlowTimeout(upstream->record.service)) {
     return;
   }
   flow->is_timeout_recorded = true;
@@ -240,28 +256,32 @@
 void Steering::RecordFlowResponse(const FlowRecord& flow,
                                   Upstream* upstream,
                                   SteadyTime now) {
-  if (flow.is_awaiting_response) {
-    (flow.is_established ? m_response_times : m_handshake_times)
-        .Add(now - flow.awaiting_response_since);
+  upstream->liveness.RecordResponse(now);
+  if (!flow.is_awaiting_response) {
+    return;
   }
-  if (flow.is_awaiting_response && flow.is_established) {
-    const std::chrono::duration<double, std::milli> response =
-        now - flow.awaiting_response_since;
+  const auto time = now - flow.awaiting_response_since;
+  if (flow.is_established) {
+    m_response_times.Add(time);
+    m_response_timeouts.RecordResponse(upstream->record.service, time);
+    const std::chrono::duration<double, std::milli> response = time;
     upstream->response_ms +=
         kResponseTimeWeight * (response.count() - upstream->response_ms);
+  } else {
+    m_handshake_times.Add(time);
+    m_response_timeouts.RecordHandshake(upstream->record.failure_domain, time);
   }
-  if (flow.is_awaiting_response &&
-      now - flow.awaiting_response_since <= kRequestResponseTimeout) {
+  if (now <= flow.response_deadline) {
     m_last_timely_response = now;
   }
-  upstream->liveness.RecordResponse(now);
 }
 
 ResponseTimeoutDecision Steering::DecideOnTimeout(const FlowPacket& packet,
                                                   SteadyTime now) {
   FlowRecord* flow = m_flows.Find(packet.key);
+  // A later packet of the flow has a later deadline and an entry of its own.
   if (flow == nullptr || !flow->is_awaiting_response ||
-      flow->is_established == packet.is_syn) {
+      flow->is_established == packet.is_syn || now < flow->response_deadline) {
     return {};
   }
   Upstream* upstream = m_routing_table.FindUpstream(flow->upstream_id);
@@ -288,8 +308,11 @@
     return decision;
   }
   flow->previous_upstream_id = flow->upstream_id;
+  flow->previous_sent = flow->awaiting_response_since;
   AttachFlow(flow, other);
-  flow->awaiting_response_since = now;
+  AwaitResponse(flow, other,
+                m_response_timeouts.SynTimeout(other->record.failure_domain),
+                now);
   decision.resend = Decision{Action::kForward, Reason::kPlacedAgain, other,
                              MakeTag(packet.key.listener, other->tag_base)};
   return decision;
@@ -409,6 +432,16 @@
   return reference;
 }
 
+milliseconds Steering::ConnectTimeout(const Upstream& checked,
+                                      const Upstream* reference) const {
+  const milliseconds timeout =
+      m_response_timeouts.ConnectTimeout(checked.record.failure_domain);
+  return reference == nullptr
+             ? timeout
+             : std::max(timeout, m_response_timeouts.ConnectTimeout(
+                                     reference->record.failure_domain));
+}
+
 void Steering::SetAwaitingResponse(FlowRecord* flow,
                                    Upstream* upstream,
                                    bool is_awaiting_response) {
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -13,6 +13,7 @@
 #include "flows/flow_packet.h"
 #include "flows/flow_table.h"
 #include "flows/placement.h"
+#include "flows/response_timeouts.h"
 #include "flows/routing_table.h"
 #include "telemetry/telemetry.h"
 
@@ -23,12 +24,9 @@
 // Records of flows without packets are evicted after this time unless the
 // configuration sets another.
 inline constexpr std::chrono::seconds kDefaultFlowIdleTimeout{15};
-// A packet without a response counts as a timeout of its upstream after this
-// time. Clients retransmit after 200 ms at the earliest, less jitter.
-inline constexpr milliseconds kFlowResponseTimeout{150};
 // A tag that identifies no known upstream may belong to one that this host has
-// not learned of yet, up to the delay between two watches after the others. Packets of such a flow are dropped for this time before
-// the flow is reset.
+// not learned of yet, up to the delay between two watches after the others.
+// Packets of such a flow are dropped for this time before the flow is reset.
 inline constexpr milliseconds kUnknownTagGracePeriod{900};
 
 enum class Action : uint8_t {
@@ -62,8 +60,8 @@
   Reason reason = Reason::kNoTag;
   const Upstream* upstream = nullptr;
   uint32_t tag = 0;
-  // The packet should be added to PendingResponses.
-  bool expects_response = false;
+  // When the response to the packet is overdue, or nullopt if none is expected.
+  std::optional<SteadyTime> response_deadline;
 };
 
 // What to do about a packet without a timely response.
@@ -115,6 +113,11 @@
   // if none did. It should respond to a check if this host's own link works.
   const Upstream* FindReferenceUpstream(const Upstream& checked) const;
 
+  // Returns how long a connection of a check of `checked` may take, or of one
+  // to `reference` if it is not nullptr.
+  milliseconds ConnectTimeout(const Upstream& checked,
+                              const Upstream* reference) const;
+
   // Handles another host's report that the upstream does not respond: new flows
   // avoid the upstream. Returns the upstream if it should be checked, because
   // flows of this host depend on the result, else nullptr.
@@ -148,16 +151,21 @@
   Decision DecideUntagged(const FlowPacket& packet, SteadyTime now);
   const Service* ChooseService(const FlowPacket& packet,
                                const Listener& listener) const;
-  // Updates the flow's record. Returns whether the packet is expected to get a
-  // response.
-  bool TrackPacket(const FlowPacket& packet,
-                   FlowRecord* flow,
-                   Upstream* upstream,
-                   SteadyTime now);
+  // Updates the flow's record. Returns when the response to the packet is
+  // overdue, or nullopt if none is expected.
+  std::optional<SteadyTime> TrackPacket(const FlowPacket& packet,
+                                        FlowRecord* flow,
+                                        Upstream* upstream,
+                                        SteadyTime now);
   Upstream* FindPinnedUpstream(const FlowPacket& packet,
                                const FlowRecord* flow,
                                Upstream* tagged);
   bool StartCheck(Upstream* upstream, SteadyTime now);
+  // Marks the flow as waiting for a response to a packet that is sent now.
+  void AwaitResponse(FlowRecord* flow,
+                     Upstream* upstream,
+                     milliseconds timeout,
+                     SteadyTime now);
   void RecordFlowTimeout(FlowRecord* flow, SteadyTime now);
   void RecordFlowResponse(const FlowRecord& flow,
                           Upstream* upstream,
@@ -173,10 +181,11 @@
   std::unique_ptr<Placement> m_placement;
   RoutingTable m_routing_table;
   FlowTable m_flows;
+  ResponseTimeouts m_response_timeouts;
   telemetry::LatencyHistogram m_handshake_times;
   telemetry::LatencyHistogram m_response_times;
   bool m_has_complete_state = false;
-  // When a response last came within kRequestResponseTimeout.
+  // When a response last came before its deadline.
   SteadyTime m_last_timely_response;
   std::chrono::milliseconds m_flow_idle_timeout{kDefaultFlowIdleTimeout};
 };
