Tell refusals of stopping upstreams from those of a partition

A refusal now ends no flow if the upstream may be stopping: it drains, is unregistered, or the store is out of reach, so that its drain may be unknown here. A client that got neither a response nor a reset and sends again refutes that. Of other upstreams it ends the flows if one waits beyond the learned time and nothing else was heard from the upstream meanwhile, so that one at its limit of connections keeps its flows.

--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -144,12 +144,7 @@
   options.report_endpoint = {m_settings.peers.address,
                              m_settings.failure_report_port};
   options.seeds = m_settings.seeds;
-  options.is_store_unreachable = [this]() {
-    return std::any_of(
-        m_components->store_watchers.begin(),
-        m_components->store_watchers.end(),
-        [](const auto& watcher) { return watcher->is_store_unreachable(); });
-  };
+  options.is_store_unreachable = [this]() { return IsStoreUnreachable(); };
   options.on_change = [this]() { OnClusterStateChange(); };
   options.on_fleet_view = [this](const FleetView& fleet) {
     m_components->placement->set_host_count(fleet.host_count);
@@ -186,6 +181,12 @@
   }
 }
 
+bool EntryDaemon::IsStoreUnreachable() const {
+  return std::any_of(
+      m_components->store_watchers.begin(), m_components->store_watchers.end(),
+      [](const auto& watcher) { return watcher->is_store_unreachable(); });
+}
+
 void EntryDaemon::StartTimers() {
   m_components->tick.expires_after(kTickInterval);
   m_components->tick.async_wait([this](const boost::system::error_code& error) {
@@ -279,6 +280,7 @@
   if (m_components->cluster_state.generation() != generation_before) {
     OnClusterStateChange();
   }
+  m_components->steering.set_registrations_current(!IsStoreUnreachable());
   m_components->steering.EvictIdleFlows(now);
   m_components->packets.RunDueChecks();
   ReloadIfChanged();
--- a/src/libs/entry/entry_daemon.h
+++ b/src/libs/entry/entry_daemon.h
@@ -44,6 +44,7 @@
   void ReloadIfChanged();
   void OnClusterStateChange();
   void LogReadiness();
+  bool IsStoreUnreachable() const;
   void OnTick();
   void Stop();
 
--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -58,6 +58,21 @@
   return flows::CheckOutcome::kNoResponse;
 }
 
+// Whether the outcome of a check changes what was believed of the upstream.
+bool IsNews(flows::CheckOutcome outcome,
+            flows::Health health,
+            bool should_notify_peers) {
+  switch (outcome) {
+    case flows::CheckOutcome::kConnected:
+      return health != flows::Health::kHealthy;
+    case flows::CheckOutcome::kRefused:
+      return should_notify_peers;
+    case flows::CheckOutcome::kNoResponse:
+      break;
+  }
+  return health != flows::Health::kPresumedDead;
+}
+
 std::string_view MessageOf(flows::CheckOutcome outcome) {
   switch (outcome) {
     case flows::CheckOutcome::kConnected:
@@ -220,13 +235,8 @@
       m_steering->HandleCheckResult(upstream_id, outcome, now);
   m_counts.failed_checks += outcome == flows::CheckOutcome::kNoResponse ? 1 : 0;
   m_counts.refused_checks += outcome == flows::CheckOutcome::kRefused ? 1 : 0;
-  const flows::Health expected = outcome == flows::CheckOutcome::kNoResponse
-                                     ? flows::Health::kPresumedDead
-                                     : flows::Health::kHealthy;
-  const bool is_logged = health != expected ||
-                         !decision.flows_to_reset.empty() ||
-                         (outcome == flows::CheckOutcome::kRefused &&
-                          decision.should_notify_peers);
+  const bool is_logged = !decision.flows_to_reset.empty() ||
+                         IsNews(outcome, health, decision.should_notify_peers);
   if (is_logged) {
     telemetry::Log(
         telemetry::LogLevel::kInfo, "packets", std::string(MessageOf(outcome)),
--- a/src/libs/flows/liveness.cc
+++ b/src/libs/flows/liveness.cc
@@ -6,6 +6,7 @@
 
 void Liveness::RecordResponse(SteadyTime now) {
   m_last_response = now;
+  m_is_refusing = false;
   m_timeouts = 0;
   m_syn_timeouts = 0;
 }
@@ -13,12 +14,13 @@
 void Liveness::RecordConnection(SteadyTime now) {
   const bool had_timeouts = m_timeouts > 0;
   m_last_response = now;
+  m_is_refusing = false;
   m_timeouts = 0;
   m_next_trial = had_timeouts ? now : m_next_trial;
 }
 
 void Liveness::RecordRefusal(SteadyTime now) {
-  m_timeouts = 0;
+  m_is_refusing = true;
   m_syn_timeouts = std::max(m_syn_timeouts, kSuspectThreshold);
   m_next_trial = now + kTrialDelay;
 }
--- a/src/libs/flows/liveness.h
+++ b/src/libs/flows/liveness.h
@@ -34,8 +34,10 @@
 // What a check of an upstream by a connection showed.
 enum class CheckOutcome : uint8_t {
   kConnected,
-  // The upstream's machine is up, but no new flow can be opened. An upstream
-  // that stops closes its listening socket before it ends its open flows.
+  // No new flow can be opened. An upstream that stops closes its listening
+  // socket before it ends its open flows, and one at its limit of connections
+  // refuses more; but some networks also refuse connections to hosts that are
+  // out of reach.
   kRefused,
   kNoResponse,
 };
@@ -51,8 +53,8 @@
   // therefore try it one at a time.
   void RecordConnection(SteadyTime now);
 
-  // The upstream refused a connection. New flows avoid it. Its machine is up
-  // and resets flows that have ended by itself, so open flows are left alone.
+  // The upstream refused a connection, which says nothing about its open flows.
+  // New flows avoid it.
   void RecordRefusal(SteadyTime now);
 
   // A SYN had no response until `now`. Upstreams respond to a SYN even if they
@@ -80,6 +82,10 @@
     }
   }
 
+  // Whether it refused a connection and has not responded since.
+  bool is_refusing() const { return m_is_refusing; }
+  // Whether a flow timed out since the last response.
+  bool has_timeouts() const { return m_timeouts > 0; }
   SteadyTime last_response() const { return m_last_response; }
   SteadyTime first_timeout() const { return m_first_timeout; }
   // Whether a check failed within kPresumedDeadDuration.
@@ -95,6 +101,7 @@
   SteadyTime m_last_timeout;
   SteadyTime m_next_trial;
   SteadyTime m_last_failed_check;
+  bool m_is_refusing = false;
   uint32_t m_timeouts = 0;
   // SYNs without a response since the last response on a flow.
   uint32_t m_syn_timeouts = 0;
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -339,11 +339,13 @@
     upstream->liveness.RecordConnection(now);
     return {};
   }
-  if (outcome == CheckOutcome::kRefused) {
+  if (outcome == CheckOutcome::kRefused &&
+      !DoesRefusalEndFlows(*upstream, now)) {
     CheckResultDecision refused;
     refused.should_notify_peers = !upstream->is_check_peer_initiated &&
                                   upstream->liveness.AllowsAttempt(now);
     upstream->liveness.RecordRefusal(now);
+    upstream->next_check = now + kRefusedCheckInterval;
     return refused;
   }
   const bool has_responded_since =
@@ -396,7 +398,9 @@
     const bool needs_check =
         upstream->open_flows > 0 &&
         (upstream->is_unregistered ||
-         upstream->liveness.health(now) != Health::kHealthy);
+         upstream->liveness.health(now) != Health::kHealthy ||
+         (upstream->liveness.is_refusing() &&
+          upstream->liveness.has_timeouts()));
     if (needs_check && StartCheck(upstream.get(), now)) {
       due.push_back(upstream.get());
     }
@@ -404,6 +408,22 @@
   return due;
 }
 
+bool Steering::DoesRefusalEndFlows(const Upstream& upstream,
+                                   SteadyTime now) const {
+  const bool may_be_stopping =
+      upstream.is_unregistered || !m_are_registrations_current ||
+      upstream.record.phase == cluster_state::UpstreamPhase::kDraining;
+  if (may_be_stopping) {
+    // Its flows get responses or end by themselves, unless a client that got
+    // neither sends again.
+    return upstream.liveness.has_timeouts();
+  }
+  // At its limit of connections it would go on responding.
+  const auto silence = now - upstream.liveness.last_response();
+  return upstream.flows_awaiting_response > 0 &&
+         silence >= m_response_timeouts.RequestTimeout(upstream.record.service);
+}
+
 bool Steering::IsPresumedDead(const Upstream& upstream, SteadyTime now) const {
   const Liveness& liveness = upstream.liveness;
   const Health health = liveness.health(now);
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -84,8 +84,9 @@
 // flow belongs to another flow with the same ports. Four times the 16 packets
 // of 1,200 bytes that may be in flight.
 inline constexpr int32_t kSequenceWindow = 76'800;
-// Minimum interval between two checks of an upstream.
+// Minimum interval between two checks of an upstream, and after a refused one.
 inline constexpr milliseconds kCheckInterval{1'000};
+inline constexpr milliseconds kRefusedCheckInterval{250};
 // Weight of a new sample in the moving average of response times.
 inline constexpr double kResponseTimeWeight = 0.15;
 
@@ -102,13 +103,19 @@
   ResponseTimeoutDecision DecideOnTimeout(const FlowPacket& packet,
                                           SteadyTime now);
 
-  // Applies the result of a check. If there was no response, idle flows are
-  // reset as well: clients keep flows idle, and the next request on one would
-  // be lost. After a reset the client opens a new flow for it.
+  // Applies the result of a check. If the upstream has failed, its idle flows
+  // are reset as well: clients keep flows idle, and the next request on one
+  // would be lost. After a reset the client opens a new flow for it.
   CheckResultDecision HandleCheckResult(uint64_t upstream_id,
                                         CheckOutcome outcome,
                                         SteadyTime now);
 
+  // Sets whether the registrations of upstreams are known to be current,
+  // because the store is reachable.
+  void set_registrations_current(bool are_current) {
+    m_are_registrations_current = are_current;
+  }
+
   // Returns the upstream other than `checked` that responded last, or nullptr
   // if none did. It should respond to a check if this host's own link works.
   const Upstream* FindReferenceUpstream(const Upstream& checked) const;
@@ -170,6 +177,9 @@
   void RecordFlowResponse(const FlowRecord& flow,
                           Upstream* upstream,
                           SteadyTime now);
+  // Whether a refused connection shows that the flows of the upstream have
+  // ended.
+  bool DoesRefusalEndFlows(const Upstream& upstream, SteadyTime now) const;
   bool IsPresumedDead(const Upstream& upstream, SteadyTime now) const;
   // `upstream` is the upstream of `flow`.
   static void SetAwaitingResponse(FlowRecord* flow,
@@ -185,6 +195,7 @@
   telemetry::LatencyHistogram m_handshake_times;
   telemetry::LatencyHistogram m_response_times;
   bool m_has_complete_state = false;
+  bool m_are_registrations_current = true;
   // When a response last came before its deadline.
   SteadyTime m_last_timely_response;
   std::chrono::milliseconds m_flow_idle_timeout{kDefaultFlowIdleTimeout};
