Forward packets until a stopping host is out of use

While fewer than half of a domain's hosts are ready the fabric uses all of them, also one that stops. It exited 2.5 s after SIGTERM whatever still arrived, and packets that waited in its socket were dropped. It now stays until it got no packet for 0.6 s, for at most 5 s of its 6 s of grace, and reads its socket empty.

Looked for as well: a late response of the store on a connection in use again. The connection is closed with the time-out; a test with a store that answers late shows so.

--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -293,9 +293,25 @@
       {{"linger_ms", std::to_string(m_settings.linger.count())},
        {"flows", std::to_string(m_components->steering.flow_table().size())}});
   m_is_stopping = true;
-  m_components->stop.expires_after(m_settings.linger);
-  m_components->stop.async_wait(
-      [this](const boost::system::error_code&) { m_context->stop(); });
+  m_stop_policy =
+      StopPolicy(std::chrono::steady_clock::now(), m_settings.linger);
+  StopWhenQuiet();
+}
+
+void EntryDaemon::StopWhenQuiet() {
+  const auto stop_time =
+      m_stop_policy.StopTime(m_components->packets.last_packet());
+  m_components->stop.expires_at(stop_time);
+  m_components->stop.async_wait([this](const boost::system::error_code&) {
+    // Packets may be waiting in the socket.
+    m_components->packets.Drain();
+    const auto now = std::chrono::steady_clock::now();
+    if (m_stop_policy.StopTime(m_components->packets.last_packet()) > now) {
+      StopWhenQuiet();
+    } else {
+      m_context->stop();
+    }
+  });
 }
 
 }  // namespace poplarsail::entry
--- a/src/libs/entry/entry_daemon.h
+++ b/src/libs/entry/entry_daemon.h
@@ -8,6 +8,7 @@
 #include "entry/entry_settings.h"
 #include "entry/flow_codec.h"
 #include "entry/state_store.h"
+#include "entry/stop_policy.h"
 
 namespace poplarsail::entry {
 
@@ -47,6 +48,8 @@
   bool IsStoreUnreachable() const;
   void OnTick();
   void Stop();
+  // Stops once the host gets no more packets, or at the latest time for it.
+  void StopWhenQuiet();
 
   boost::asio::io_context* m_context;
   std::string m_settings_path;
@@ -55,6 +58,7 @@
   EntryPlatform m_platform;
   std::unique_ptr<Components> m_components;
   bool m_is_stopping = false;
+  StopPolicy m_stop_policy;
   bool m_was_ready = false;
 };
 
--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -153,6 +153,7 @@
   const auto now = std::chrono::steady_clock::now();
   while (true) {
     const auto datagrams = m_socket.Receive();
+    m_last_packet = datagrams.empty() ? m_last_packet : now;
     for (const std::span<const uint8_t> datagram : datagrams) {
       HandlePacket(datagram, now);
     }
--- a/src/libs/entry/packet_loop.h
+++ b/src/libs/entry/packet_loop.h
@@ -71,10 +71,15 @@
 
   void Start() { WaitForPackets(); }
 
+  // Handles the packets that wait in the socket, before the daemon stops.
+  void Drain() { ReceivePackets(); }
+
   // Handles held packets again after the cluster state has changed.
   void RetryHeldPackets();
 
   const PacketCounts& counts() const { return m_counts; }
+  // When the last packet arrived.
+  flows::SteadyTime last_packet() const { return m_last_packet; }
 
  private:
   struct HeldPacket {
@@ -111,6 +116,7 @@
   bool m_is_response_timer_armed = false;
   std::deque<HeldPacket> m_held_packets;
   PacketCounts m_counts;
+  flows::SteadyTime m_last_packet;
   std::function<void(uint64_t)> m_on_upstream_failure;
 };
 
--- a/src/libs/entry/peer_exchange.h
+++ b/src/libs/entry/peer_exchange.h
@@ -49,8 +49,6 @@
 inline constexpr int kKnownPeerExpiryIntervals = 6;
 // Maximum number of known peers, the hosts that queried this one.
 inline constexpr size_t kMaxKnownPeers = 4'096;
-// Unused: number of known peers to query at once at start.
-inline constexpr size_t kMaxInitialQueries = 8;
 // Maximum number of local peers in a fleet view; failure reports are sent to
 // all of them.
 inline constexpr size_t kMaxLocalPeers = 64;
--- a/tests/auto/platform/tst_http_state_store.cc
+++ b/tests/auto/platform/tst_http_state_store.cc
@@ -170,6 +170,28 @@
       objects::UnavailableError);
 }
 
+TEST_CASE("A late response is not taken for that of the next call") {
+  StoreFixture fixture;
+  fixture.store.Put("servers", "i-1", UpstreamSpec("ready"));
+  fixture.store.set_mode(StoreMode::kLateResponses);
+  CHECK_THROWS_AS(fixture.Await(fixture.state.List(
+                      ObjectKind::kUpstreams, entry::ReadFreshness::kLatest)),
+                  objects::UnknownOutcomeError);
+  fixture.store.set_mode(StoreMode::kServe);
+  fixture.store.Put("servers", "i-2", UpstreamSpec("ready"));
+  // The first list is answered now, without the second upstream.
+  bool is_late_response_due = false;
+  boost::asio::steady_timer timer(fixture.context,
+                                  standins::kLateResponseDelay);
+  timer.async_wait(
+      [&](const boost::system::error_code&) { is_late_response_due = true; });
+  fixture.RunUntil([&]() { return is_late_response_due; });
+  CHECK(fixture
+            .Await(fixture.state.List(ObjectKind::kUpstreams,
+                                      entry::ReadFreshness::kLatest))
+            .entries.size() == 2);
+}
+
 TEST_CASE("A response with an unusable era is not used") {
   StoreFixture fixture;
   const auto list = [&fixture]() {
--- a/tests/standins/fake_platform_store.cc
+++ b/tests/standins/fake_platform_store.cc
@@ -193,6 +193,7 @@
     }
     case StoreMode::kServe:
     case StoreMode::kDropResponses:
+    case StoreMode::kLateResponses:
       break;
   }
   if (!is_read) {
@@ -220,6 +221,19 @@
   }
   session->response.body() = body.dump();
   session->response.prepare_payload();
+  if (m_mode != StoreMode::kLateResponses) {
+    return SendResponse(session);
+  }
+  session->timer.expires_after(kLateResponseDelay);
+  session->timer.async_wait(
+      [this, session](const boost::system::error_code& error) {
+        if (!error) {
+          SendResponse(session);
+        }
+      });
+}
+
+void FakePlatformStore::SendResponse(const std::shared_ptr<Session>& session) {
   http::async_write(session->stream, session->response,
                     [this, session](const beast::error_code& error, size_t) {
                       if (!error) {
--- a/tests/standins/fake_platform_store.h
+++ b/tests/standins/fake_platform_store.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -30,8 +31,13 @@
   kReset,
   // Writes are executed but not answered.
   kDropResponses,
+  // Calls are executed and answered after kLateResponseDelay.
+  kLateResponses,
 };
 
+// Longer than clients wait for a response.
+inline constexpr std::chrono::milliseconds kLateResponseDelay{1'800};
+
 // In-memory fake of the platform's store.
 class FakePlatformStore {
  public:
@@ -91,6 +97,7 @@
   void Respond(const std::shared_ptr<Session>& session,
                unsigned status,
                const nlohmann::json& body);
+  void SendResponse(const std::shared_ptr<Session>& session);
   void ServeList(const std::shared_ptr<Session>& session,
                  const std::string& kind,
                  const std::string& after);
