--- a/soak/scenario.cc
+++ b/soak/scenario.cc
@@ -22,6 +22,8 @@
 using std::chrono::milliseconds;
 
 constexpr uint16_t kPacketPort = 18'172;
+// Distinguishes the random numbers of restores from those of other faults.
+constexpr uint64_t kRestoreSeed = 0x726573746f7265;
 constexpr std::array<const char*, 3> kDomains = {"regina", "saskatoon",
                                                  "brandon"};
 // A host is checked once no fault has affected it for this long.
@@ -74,6 +76,7 @@
   m_store = std::make_unique<standins::FakePlatformStore>(
       &m_context,
       model::Endpoint{boost::asio::ip::make_address(Address(4, 1)), 18'000});
+  m_store->set_era(1);
   m_listeners = {
       {*model::ParseIpv4Endpoint("198.18.0.1:8443"), "tally", std::nullopt},
       {*model::ParseIpv4Endpoint("198.18.0.2:8443"), "archive", std::nullopt}};
@@ -139,9 +142,9 @@
       listeners.push_back({listener.endpoint, listener.service});
     }
   }
-  m_store->Put("config", "main",
-               standins::ConfigurationSpec(m_configuration_version++, listeners,
-                                           {"tally", "archive"}));
+  m_configuration = standins::ConfigurationSpec(
+      m_configuration_version++, listeners, {"tally", "archive"});
+  m_store->Put("config", "main", m_configuration);
 }
 
 Upstream* Scenario::AddUpstream(const std::string& service,
@@ -184,11 +187,24 @@
   return m_upstreams.back().get();
 }
 
-void Scenario::SetRegistrationState(const Upstream& upstream,
-                                    const char* state) {
-  json spec = m_store->Spec("servers", upstream.name());
-  spec["state"] = state;
-  m_store->Put("servers", upstream.name(), spec);
+void Scenario::WriteEvacuations() {
+  for (const char* domain : kDomains) {
+    if (m_evacuations.contains(domain)) {
+      m_store->Put("evacuations", domain, json::object());
+    } else {
+      m_store->Remove("evacuations", domain);
+    }
+  }
+}
+
+void Scenario::WriteRegistration(const Upstream& upstream) {
+  const UpstreamOptions& options = upstream.options();
+  const bool is_draining =
+      upstream.draining_since && !IsDefectInjected(Invariant::kDrainHonored);
+  m_store->Put("servers", upstream.name(),
+               standins::RegistrationSpec(options.service, options.endpoint,
+                                          options.failure_domain,
+                                          is_draining ? "draining" : "ready"));
 }
 
 void Scenario::RunFor(milliseconds time) {
@@ -326,6 +342,20 @@
     });
     at += RandomDuration(150, 900);
   }
+  ScheduleRestores();
+}
+
+void Scenario::ScheduleRestores() {
+  // Drawn apart from the other faults, whose schedules earlier seeds reproduce.
+  std::mt19937_64 random(m_options.seed ^ kRestoreSeed);
+  SnapshotStore();
+  for (uint64_t left = random() % 3; left > 0; --left) {
+    const milliseconds at(random() % m_options.fault_time.count());
+    RunAfter(at, [this]() {
+      ++m_fault_count;
+      RestoreStore();
+    });
+  }
 }
 
 bool Scenario::InjectDefectiveChange() {
--- a/soak/scenario.h
+++ b/soak/scenario.h
@@ -11,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 #include "soak/client.h"
 #include "soak/entry_process.h"
 #include "soak/tcp_proxy.h"
@@ -77,7 +79,14 @@
   Upstream* AddUpstream(const std::string& service,
                         const std::string& domain,
                         const model::Ipv4Endpoint& endpoint);
-  void SetRegistrationState(const Upstream& upstream, const char* state);
+  void WriteRegistration(const Upstream& upstream);
+  void ScheduleRestores();
+  // Copies the store now and at intervals.
+  void SnapshotStore();
+  // Writes again what the store lost in a restore, each writer at its own time
+  // within kRewriteTime.
+  void RewriteObjects();
+  void WriteEvacuations();
 
   void RunFor(std::chrono::milliseconds time);
   void WaitUntilServing();
@@ -97,6 +106,8 @@
   void ReloadHost();
   void InjectStoreConnectionFault();
   void InjectStoreFault();
+  // Takes the store away for a moment and restores it from an older copy.
+  void RestoreStore();
   void PartitionHostFromDomain();
   void CrashUpstream();
   void DrainUpstream();
@@ -141,6 +152,8 @@
   uint64_t m_next_upstream = 0x10;
   uint16_t m_next_upstream_port = 21'000;
   int64_t m_configuration_version = 1;
+  // The configuration that the operator wrote last.
+  nlohmann::json m_configuration;
   uint64_t m_fault_count = 0;
   bool m_is_supervising = true;
 };
--- a/soak/scenario_faults.cc
+++ b/soak/scenario_faults.cc
@@ -19,6 +19,10 @@
 // The address of an upstream may be reused after this time.
 constexpr milliseconds kAddressReuseDelay{2'000};
 constexpr milliseconds kDrainTime{7'000};
+// Age of the copy that the store is restored from, at the most.
+constexpr milliseconds kSnapshotInterval{3'000};
+// Owners write their objects again within this time after a restore.
+constexpr milliseconds kRewriteTime{1'800};
 // First port of the listeners that are added and removed.
 constexpr size_t kFirstExtraPort = 9'000;
 
@@ -84,6 +88,44 @@
   RunAfter(time, [this]() { m_store->set_mode(standins::StoreMode::kServe); });
 }
 
+void Scenario::SnapshotStore() {
+  m_store->TakeSnapshot();
+  RunAfter(kSnapshotInterval, [this]() { SnapshotStore(); });
+}
+
+void Scenario::RestoreStore() {
+  const milliseconds time = RandomDuration(50, 800);
+  m_store_disturbed_until =
+      std::max(m_store_disturbed_until, Clock::now() + time + 2 * kRewriteTime);
+  m_store->set_mode(standins::StoreMode::kReset);
+  RunAfter(time, [this]() {
+    m_store->Restore();
+    m_store->set_mode(standins::StoreMode::kServe);
+    RewriteObjects();
+  });
+}
+
+void Scenario::RewriteObjects() {
+  for (const auto& owner : m_upstreams) {
+    const Upstream* upstream = owner.get();
+    RunAfter(RandomDuration(50, kRewriteTime.count()), [this, upstream]() {
+      if (upstream->is_running()) {
+        WriteRegistration(*upstream);
+      }
+    });
+    // The store removes the registrations of owners that are gone.
+    RunAfter(kRegistrationExpiry, [this, upstream]() {
+      if (!upstream->is_running()) {
+        m_store->Remove("servers", upstream->name());
+      }
+    });
+  }
+  RunAfter(RandomDuration(50, kRewriteTime.count()), [this]() {
+    m_store->Put("config", "main", m_configuration);
+    WriteEvacuations();
+  });
+}
+
 void Scenario::PartitionHostFromDomain() {
   Host* host = RandomHost();
   const std::string domain = RandomDomain();
@@ -117,10 +159,8 @@
   }
   AddUpstream(upstream->options().service, upstream->options().failure_domain,
               {});
-  if (!IsDefectInjected(Invariant::kDrainHonored)) {
-    SetRegistrationState(*upstream, "draining");
-  }
   upstream->draining_since = Clock::now();
+  WriteRegistration(*upstream);
   RunAfter(kDrainTime, [this, upstream]() {
     m_store->Remove("servers", upstream->name());
     upstream->Crash();
