--- a/tests/auto/cluster_state/tst_cluster_state.cc
+++ b/tests/auto/cluster_state/tst_cluster_state.cc
@@ -153,9 +153,9 @@
 }
 
 TEST_CASE("A list older than the last one does not return what has left") {
-  // A host that starts lists the store and queries its peers at the same time. A
-  // peer's older state would bring back an upstream that left in between, and no
-  // further event would remove it.
+  // A host that starts lists the store and queries its peers at the same time.
+  // A peer's older state would bring back an upstream that left in between, and
+  // no further event would remove it.
   ClusterState cluster_state;
   const std::vector<ClusterState::UpstreamEntry> latest = {Entry(1, 10)};
   cluster_state.ApplyList(ObjectKind::kUpstreams, latest, {0, 40}, kStart);
