Set the response timer anew for an earlier deadline

Since time-outs are learned, requests wait for up to 1.5 s, SYNs for 50 ms. The timer stayed set for the first entry, so that a SYN behind a long request was looked at after its deadline, which is then ignored as a delay of the host itself: neither a second upstream nor a check. NextCheck() decides, with a test that fails without it (the test needs the function, so it was not seen red on the commit before).

--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -167,17 +167,21 @@
 }
 
 void PacketLoop::ScheduleResponseTimeouts() {
-  const auto next = m_pending_responses.NextDeadline();
-  if (m_is_response_timer_armed || !next) {
+  const auto check = m_pending_responses.NextCheck(m_response_timer_expiry);
+  if (!check) {
     return;
   }
-  m_is_response_timer_armed = true;
-  m_response_timer.expires_at(*next + flows::kResponseTimeoutInterval);
-  m_response_timer.async_wait([this](const boost::system::error_code&) {
+  m_response_timer_expiry = check;
+  m_response_timer.expires_at(*check);
+  m_response_timer.async_wait([this](const boost::system::error_code& error) {
+    if (error) {
+      // The timer was set to an earlier time.
+      return;
+    }
     // Responses may already be queued in the socket: read them first.
     ReceivePackets();
     HandleResponseTimeouts();
-    m_is_response_timer_armed = false;
+    m_response_timer_expiry.reset();
     ScheduleResponseTimeouts();
   });
 }
--- a/src/libs/entry/packet_loop.h
+++ b/src/libs/entry/packet_loop.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <span>
 #include <utility>
 #include <vector>
@@ -113,7 +114,8 @@
   // Packets that were queued during a stall are still being read.
   bool m_is_catching_up = false;
   boost::asio::steady_timer m_response_timer;
-  bool m_is_response_timer_armed = false;
+  // When the response timer expires, or nullopt if it is not armed.
+  std::optional<flows::SteadyTime> m_response_timer_expiry;
   std::deque<HeldPacket> m_held_packets;
   PacketCounts m_counts;
   flows::SteadyTime m_last_packet;
--- a/src/libs/flows/pending_responses.cc
+++ b/src/libs/flows/pending_responses.cc
@@ -51,4 +51,14 @@
   return next;
 }
 
+std::optional<SteadyTime> PendingResponses::NextCheck(
+    const std::optional<SteadyTime>& scheduled) const {
+  const auto next = NextDeadline();
+  if (!next) {
+    return std::nullopt;
+  }
+  const SteadyTime check = *next + kResponseTimeoutInterval;
+  return scheduled && *scheduled <= check ? std::nullopt : std::optional(check);
+}
+
 }  // namespace poplarsail::flows
--- a/src/libs/flows/pending_responses.h
+++ b/src/libs/flows/pending_responses.h
@@ -44,6 +44,11 @@
   // Returns the earliest deadline, or nullopt if there are no entries.
   std::optional<SteadyTime> NextDeadline() const;
 
+  // Returns when to check for overdue responses, or nullopt if there are none
+  // to come or the check that is scheduled for `scheduled` comes early enough.
+  std::optional<SteadyTime> NextCheck(
+      const std::optional<SteadyTime>& scheduled) const;
+
  private:
   using Queue = std::multimap<SteadyTime, PendingResponse>;
 
--- a/src/tools/emulator/host_model.cc
+++ b/src/tools/emulator/host_model.cc
@@ -38,16 +38,17 @@
 }
 
 void HostModel::ScheduleTimeoutCheck() {
-  const auto next = m_pending_responses.NextDeadline();
-  if (m_is_timeout_check_scheduled || !next) {
+  const auto check = m_pending_responses.NextCheck(m_next_timeout_check);
+  if (!check) {
     return;
   }
-  m_is_timeout_check_scheduled = true;
-  m_events->ScheduleAt(*next + flows::kResponseTimeoutInterval, [this]() {
-    m_is_timeout_check_scheduled = false;
-    if (m_is_stopped) {
+  m_next_timeout_check = check;
+  m_events->ScheduleAt(*check, [this, check]() {
+    // A later schedule may have replaced this one by an earlier check.
+    if (m_is_stopped || m_next_timeout_check != check) {
       return;
     }
+    m_next_timeout_check.reset();
     CheckTimeouts();
     ScheduleTimeoutCheck();
   });
--- a/src/tools/emulator/host_model.h
+++ b/src/tools/emulator/host_model.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "emulator/event_queue.h"
@@ -55,7 +56,7 @@
   std::string m_failure_domain;
   flows::Steering m_steering;
   flows::PendingResponses m_pending_responses;
-  bool m_is_timeout_check_scheduled = false;
+  std::optional<SteadyTime> m_next_timeout_check;
   bool m_is_stopped = false;
   Callbacks m_callbacks;
 };
--- a/tests/auto/flows/tst_pending_responses.cc
+++ b/tests/auto/flows/tst_pending_responses.cc
@@ -42,6 +42,20 @@
   CHECK(pending_responses.PopExpired(late).has_value());
 }
 
+TEST_CASE("A SYN behind a long request is checked in time") {
+  // The timer was set for the request, and the deadline of the SYN was long
+  // past when it expired, so that it was ignored.
+  PendingResponses pending_responses;
+  pending_responses.Add(FlowFixture::Data(1, 5, 101, 500), kDatagram,
+                        kStart + 900ms);
+  const auto first = pending_responses.NextCheck(std::nullopt);
+  REQUIRE(first == kStart + 900ms + kResponseTimeoutInterval);
+  CHECK_FALSE(pending_responses.NextCheck(first).has_value());
+  pending_responses.Add(FlowFixture::Syn(2), kDatagram, kSynDeadline);
+  CHECK(pending_responses.NextCheck(first) ==
+        kSynDeadline + kResponseTimeoutInterval);
+}
+
 TEST_CASE("Deadlines are ignored if the host was delayed itself") {
   PendingResponses pending_responses;
   pending_responses.Add(FlowFixture::Syn(1), kDatagram, kSynDeadline);
