Keep an address with its known user against a restored copy

Registrations of the soak state no starts, so that the order of the two was unknown, and the copy's won: open flows of the live upstream were reset as upstream-gone. Against a copy the known one stays now, against later writes the writer. On the users' platform starts are always stated and order the two. The test was red before.

--- a/src/libs/cluster_state/cluster_state.cc
+++ b/src/libs/cluster_state/cluster_state.cc
@@ -50,12 +50,14 @@
   }
   m_unconfirmed_upstreams.erase(entry.name);
   m_quarantined.erase(entry.name);
-  PutUpstream(entry, now);
+  PutUpstream(entry, Source::kChange, now);
 }
 
-void ClusterState::PutUpstream(const UpstreamEntry& entry, SteadyTime now) {
-  if (!ClaimAddress(entry, now)) {
-    return;
+bool ClusterState::PutUpstream(const UpstreamEntry& entry,
+                               Source source,
+                               SteadyTime now) {
+  if (!ClaimAddress(entry, source, now)) {
+    return false;
   }
   m_removal_deadlines.erase(entry.name);
   m_departed.erase(entry.name);
@@ -65,6 +67,7 @@
   }
   item->second = {*entry.value, entry.revision, false};
   RecordUpstreamChange(entry.name, entry.value->id);
+  return true;
 }
 
 void ClusterState::ApplyChange(const EvacuationEntry& entry, SteadyTime) {
@@ -159,7 +162,9 @@
     m_upstream_set.Replace(entry);
   }
   m_unconfirmed_upstreams.erase(entry.name);
-  PutUpstream(entry, now);
+  if (!PutUpstream(entry, Source::kRestoredCopy, now)) {
+    m_quarantined[entry.name] = now + kDepartedQuarantine;
+  }
 }
 
 bool ClusterState::HasDeparted(const UpstreamEntry& entry) const {
@@ -213,7 +218,7 @@
     }
     const UpstreamEntry* entry = m_upstream_set.Find(item.first);
     if (entry != nullptr && entry->value) {
-      PutUpstream(*entry, now);
+      PutUpstream(*entry, Source::kChange, now);
     }
     return true;
   });
@@ -232,7 +237,9 @@
   }
 }
 
-bool ClusterState::ClaimAddress(const UpstreamEntry& entry, SteadyTime now) {
+bool ClusterState::ClaimAddress(const UpstreamEntry& entry,
+                                Source source,
+                                SteadyTime now) {
   std::string& user = m_address_users[entry.value->endpoint];
   const auto other =
       user == entry.name ? m_upstreams.end() : m_upstreams.find(user);
@@ -242,11 +249,18 @@
   if (is_used) {
     const int64_t other_start = other->second.record.started_unix_ms;
     const int64_t start = entry.value->started_unix_ms;
-    if (other_start > start && start > 0) {
+    const bool are_starts_stated = other_start > 0 && start > 0;
+    // An upstream that the copy lacks registered after the copy was made, and
+    // before any change that follows.
+    const bool is_unconfirmed = m_unconfirmed_upstreams.contains(user);
+    const bool is_later_user =
+        are_starts_stated ? other_start > start
+                          : is_unconfirmed && source == Source::kRestoredCopy;
+    if (is_later_user) {
       return false;
     }
-    const bool is_former_user = (other_start < start && other_start > 0) ||
-                                m_unconfirmed_upstreams.contains(user);
+    const bool is_former_user =
+        are_starts_stated ? other_start < start : is_unconfirmed;
     if (is_former_user) {
       MarkUnregistered(std::string(user), now);
     }
--- a/src/libs/cluster_state/cluster_state.h
+++ b/src/libs/cluster_state/cluster_state.h
@@ -173,6 +173,10 @@
     SteadyTime forget_at;
   };
 
+  // Where a registration comes from: the first list after a restore shows data
+  // that is older than what is known.
+  enum class Source : uint8_t { kChange, kRestoredCopy };
+
   // Whether the object is unknown although the last list is newer.
   template <typename Record>
   bool WasRemoved(ObjectKind kind, const Versioned<Record>& entry) const {
@@ -192,14 +196,16 @@
   void AdoptUpstream(UpstreamEntry entry, SteadyTime now);
   bool HasDeparted(const UpstreamEntry& entry) const;
   void UpdateEvacuatedDomains();
-  void PutUpstream(const UpstreamEntry& entry, SteadyTime now);
+  // Returns false if the upstream is not used because its address belongs to
+  // another one.
+  bool PutUpstream(const UpstreamEntry& entry, Source source, SteadyTime now);
   void MarkUnregistered(const std::string& name, SteadyTime now);
   void RecordUpstreamChange(const std::string& name, uint64_t upstream_id);
   void RecordNonUpstreamChange() { m_non_upstream_generation = ++m_generation; }
-  // Makes the upstream the user of its address: other users of it that started
-  // earlier, or that the restored copy lacks, have stopped. Returns false if
-  // another user started later, so that this upstream has stopped itself.
-  bool ClaimAddress(const UpstreamEntry& entry, SteadyTime now);
+  // Makes the upstream the user of its address: a user of it that started
+  // earlier has stopped. Returns false if the user started later, so that this
+  // upstream has stopped itself.
+  bool ClaimAddress(const UpstreamEntry& entry, Source source, SteadyTime now);
   // Removes unregistered upstreams at `endpoint`: an address that is in use
   // again proves that its previous user has stopped.
   void RemoveUnregisteredAt(const model::Ipv4Endpoint& endpoint);
--- a/tests/auto/cluster_state/tst_restore.cc
+++ b/tests/auto/cluster_state/tst_restore.cc
@@ -182,6 +182,36 @@
   }
 }
 
+TEST_CASE("Without stated starts an address stays with its known user") {
+  // The copy lists the former user of an address; flows of the present one were
+  // reset as those of an upstream that is gone (soak, seed 3004).
+  ClusterState state;
+  const UpstreamRecord present = MakeUpstream(3, 0);
+  state.ApplyList<UpstreamRecord>(ObjectKind::kUpstreams, {Entry(present, 90)},
+                                  {kEra, 100}, kStart);
+  UpstreamRecord former = MakeUpstream(9, 0);
+  former.endpoint = present.endpoint;
+  state.ApplyList<UpstreamRecord>(ObjectKind::kUpstreams, {Entry(former, 20)},
+                                  {kEra + 1, 50}, kStart);
+  REQUIRE(state.upstreams().contains("u3"));
+  CHECK_FALSE(state.upstreams().at("u3").is_unregistered);
+  CHECK_FALSE(state.upstreams().contains("u9"));
+  SECTION("it registers again") {
+    state.Apply(Entry(present, 55), kStart);
+    state.Apply(ClusterState::UpstreamEntry{"u9", 56, std::nullopt}, kStart);
+    state.RemoveExpired(kStart + 1h);
+    CHECK(state.upstreams().contains("u3"));
+    CHECK_FALSE(state.upstreams().contains("u9"));
+  }
+  SECTION("another one registers there") {
+    UpstreamRecord successor = MakeUpstream(4, 0);
+    successor.endpoint = present.endpoint;
+    state.Apply(Entry(successor, 55), kStart);
+    CHECK(state.upstreams().contains("u4"));
+    CHECK_FALSE(state.upstreams().contains("u3"));
+  }
+}
+
 TEST_CASE("The configuration does not go back with the store") {
   ClusterState state;
   const auto list = [&state](int64_t version, StoreVersion at) {
