--- a/src/libs/explain/diagnosis.cc
+++ b/src/libs/explain/diagnosis.cc
@@ -197,8 +197,8 @@
     const TimelineEntry* first = nullptr;
     for (const TimelineEntry* entry : SilencesInWindow()) {
       const std::string domain = entry->line.Value("domain");
-      // A refused connection shows that the upstream's host is reachable, so it
-      // is no evidence of a failure of the domain.
+      // Usually the upstream's host refused the connection, so this is no
+      // evidence of a failure of the domain.
       if (entry->line.Value("connection") == "silent") {
         silent_by_domain[domain].insert(entry->line.Value("upstream"));
         hosts_by_domain[domain].insert(m_domain_by_host[entry->host]);
@@ -213,8 +213,9 @@
     if (first->line.Value("connection") == "refused") {
       m_diagnosis.cause = Cause::kUpstreamRefusing;
       m_diagnosis.summary = fmt::format(
-          "the upstream had stopped or was stopping, its machine was up: {} "
-          "found that upstream {} refused connections at {}",
+          "the upstream had stopped, was stopping, or was behind a partition "
+          "that refuses connections: {} found that upstream {} refused "
+          "connections at {}",
           first->host, first->line.Value("upstream"),
           FormatLogTime(first->time));
       return true;
--- a/src/libs/explain/diagnosis.h
+++ b/src/libs/explain/diagnosis.h
@@ -35,7 +35,7 @@
   kUnknown,
   kNoFailureFound,
   kUpstreamUnresponsive,
-  // The upstream refused connections while its machine was up.
+  // Connections to the upstream were refused.
   kUpstreamRefusing,
   kDomainPartitioned,
   kDomainDown,
--- a/tests/auto/explain/tst_daemon_logs.cc
+++ b/tests/auto/explain/tst_daemon_logs.cc
@@ -335,7 +335,6 @@
   const Diagnosis diagnosis =
       Diagnose(fixture.ReadLogs(), {fixture.flow(), "", std::nullopt});
   CAPTURE(diagnosis.summary);
-  // The machine is up and resets the flow itself.
   CHECK(diagnosis.cause == Cause::kUpstreamRefusing);
   CHECK(diagnosis.summary.find("front-regina-1 found that upstream") !=
         std::string::npos);
--- a/tests/auto/explain/tst_explain.cc
+++ b/tests/auto/explain/tst_explain.cc
@@ -122,7 +122,7 @@
                   "flows_ended=0");
     expected = Cause::kUpstreamRefusing;
     evidence =
-        "its machine was up: front-1 found that upstream a1 refused "
+        "that refuses connections: front-1 found that upstream a1 refused "
         "connections at 2026-12-04T06:00:10.200Z";
   }
   SECTION("failure domain of the upstream partitioned") {
