Log the configuration in force and how long failed calls waited

The logs could not tell a watch that was lost in a silent store from a connection that failed, nor name the operators' version that took effect: only revisions of the store. "store lost" now has waited_ms, "configuration in force" has version and previous version, and the metrics have the age of the last response by kind, the era, and the responses whose era was unusable.

--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -131,11 +131,7 @@
       });
   m_components->readiness.Start();
   m_components->metrics.AddHandler("/metrics", [this](const HttpQuery&) {
-    return HttpResponse{
-        200, FormatMetrics(
-                 {&m_components->packets.counts(), &m_components->steering,
-                  &m_components->cluster_state, &m_platform.store->counts(),
-                  &m_components->peer_exchange->counts()})};
+    return HttpResponse{200, MetricsText()};
   });
   m_components->metrics.Start();
   PeerExchange::Options options;
@@ -160,6 +156,21 @@
   m_components->peer_exchange->Start();
 }
 
+std::string EntryDaemon::MetricsText() const {
+  MetricSources sources{&m_components->packets.counts(),
+                        &m_components->steering, &m_components->cluster_state,
+                        &m_platform.store->counts(),
+                        &m_components->peer_exchange->counts()};
+  const auto now = std::chrono::steady_clock::now();
+  for (const auto& watcher : m_components->store_watchers) {
+    sources.store_response_ages.emplace_back(
+        watcher->kind_label(),
+        std::chrono::duration_cast<cluster_state::milliseconds>(
+            now - watcher->last_response()));
+  }
+  return FormatMetrics(sources);
+}
+
 void EntryDaemon::StartStoreWatchers() {
   constexpr std::array<cluster_state::ObjectKind, 3> kWatchedKinds = {
       cluster_state::ObjectKind::kConfiguration,
@@ -257,6 +268,24 @@
                                 std::chrono::steady_clock::now());
   m_components->packets.RetryHeldPackets();
   LogReadiness();
+  LogConfigurationInForce();
+}
+
+void EntryDaemon::LogConfigurationInForce() {
+  const cluster_state::ClusterState& state = m_components->cluster_state;
+  if (!state.configuration() ||
+      state.configuration()->version == m_logged_configuration) {
+    return;
+  }
+  const int64_t version = state.configuration()->version;
+  const cluster_state::StoreVersion& listed =
+      state.listed_version(cluster_state::ObjectKind::kConfiguration);
+  telemetry::Log(telemetry::LogLevel::kInfo, "daemon", "configuration in force",
+                 {{"version", std::to_string(version)},
+                  {"previous", std::to_string(std::exchange(
+                                   m_logged_configuration, version))},
+                  {"listed_revision", std::to_string(listed.revision)},
+                  {"era", std::to_string(listed.era)}});
 }
 
 void EntryDaemon::LogReadiness() {
--- a/src/libs/entry/entry_daemon.h
+++ b/src/libs/entry/entry_daemon.h
@@ -45,6 +45,8 @@
   void ReloadIfChanged();
   void OnClusterStateChange();
   void LogReadiness();
+  void LogConfigurationInForce();
+  std::string MetricsText() const;
   bool IsStoreUnreachable() const;
   void OnTick();
   void Stop();
@@ -60,6 +62,7 @@
   bool m_is_stopping = false;
   StopPolicy m_stop_policy;
   bool m_was_ready = false;
+  int64_t m_logged_configuration = 0;
 };
 
 }  // namespace poplarsail::entry
--- a/src/libs/entry/metrics.cc
+++ b/src/libs/entry/metrics.cc
@@ -49,6 +49,20 @@
   return family;
 }
 
+MetricFamily ResponseAges(const MetricSources& sources) {
+  MetricFamily family{"poplarsail_store_response_age_seconds",
+                      "Time since the last usable response of the store.",
+                      MetricType::Gauge,
+                      {}};
+  for (const auto& [kind, age] : sources.store_response_ages) {
+    ClientMetric metric;
+    metric.gauge.value = std::chrono::duration<double>(age).count();
+    metric.label.push_back({"kind", kind});
+    family.metric.push_back(metric);
+  }
+  return family;
+}
+
 MetricFamily DecisionCounters(const PacketCounts& counts) {
   std::vector<std::pair<std::string, uint64_t>> by_reason;
   for (size_t i = 0; i < counts.by_reason.size(); ++i) {
@@ -91,6 +105,9 @@
       {"poplarsail_malformed_objects_total",
        "Objects of the store that could not be used.",
        sources.store->malformed_objects},
+      {"poplarsail_store_unusable_eras_total",
+       "Responses of the store that were not used because of their era.",
+       sources.store->unusable_eras},
   };
   std::vector<MetricFamily> families;
   for (const Row& row : rows) {
@@ -138,6 +155,10 @@
       static_cast<double>(sources.steering->flow_table().size())));
   families.push_back(Gauge("poplarsail_configuration_version",
                            "Version of the configuration in force.", version));
+  families.push_back(Gauge("poplarsail_store_era",
+                           "Latest era of the store; 0 if it states none.",
+                           static_cast<double>(sources.store->era)));
+  families.push_back(ResponseAges(sources));
   families.push_back(
       Gauge("poplarsail_upstreams", "Upstreams in the cluster state.",
             static_cast<double>(cluster_state.upstreams().size())));
--- a/src/libs/entry/metrics.h
+++ b/src/libs/entry/metrics.h
@@ -2,6 +2,8 @@
 #define ENTRY_METRICS_H_
 
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "cluster_state/cluster_state.h"
 #include "entry/packet_loop.h"
@@ -18,6 +20,9 @@
   const cluster_state::ClusterState* cluster_state = nullptr;
   const StoreCallCounts* store = nullptr;
   const PeerCounts* peers = nullptr;
+  // Time since the last usable response of the store, by kind of objects.
+  std::vector<std::pair<std::string, cluster_state::milliseconds>>
+      store_response_ages;
 };
 
 // Returns all metrics in the Prometheus text format.
--- a/src/libs/entry/store_watcher.cc
+++ b/src/libs/entry/store_watcher.cc
@@ -39,7 +39,12 @@
       m_on_change(std::move(on_change)),
       m_timer(*context),
       m_random(std::random_device()()),
-      m_needs_latest_list(kind == kReferenceKind) {}
+      m_needs_latest_list(kind == kReferenceKind),
+      m_last_response(std::chrono::steady_clock::now()) {}
+
+std::string StoreWatcher::kind_label() const {
+  return KindToLabel(m_kind);
+}
 
 boost::asio::awaitable<void> StoreWatcher::Run() {
   while (true) {
@@ -85,8 +90,9 @@
   }
   // While the store is lost, only a response shows that it is back: a watch
   // that waits for changes could delay that by the whole wait.
-  const auto now = std::chrono::steady_clock::now();
-  const auto deadline = m_failures > 0 ? now : now + m_timing.wait;
+  m_call_start = std::chrono::steady_clock::now();
+  const auto deadline =
+      m_failures > 0 ? m_call_start : m_call_start + m_timing.wait;
   const StateBatch batch =
       co_await m_store->Watch(m_kind, m_watch_version.revision, deadline);
   RecordSuccess();
@@ -110,6 +116,7 @@
 boost::asio::awaitable<void> StoreWatcher::List() {
   const ReadFreshness freshness =
       m_needs_latest_list ? ReadFreshness::kLatest : ReadFreshness::kMayBeStale;
+  m_call_start = std::chrono::steady_clock::now();
   const StateBatch batch = co_await m_store->List(m_kind, freshness);
   RecordSuccess();
   Apply(batch, true);
@@ -160,14 +167,18 @@
 void StoreWatcher::RecordFailure(const char* reason) {
   ++m_failures;
   if (m_failures == 1) {
+    const auto waited = std::chrono::duration_cast<cluster_state::milliseconds>(
+        std::chrono::steady_clock::now() - m_call_start);
     telemetry::Log(telemetry::LogLevel::kWarning, "state", "store lost",
                    {{"kind", KindToLabel(m_kind)},
                     {"revision", std::to_string(m_watch_version.revision)},
+                    {"waited_ms", std::to_string(waited.count())},
                     {"reason", reason}});
   }
 }
 
 void StoreWatcher::RecordSuccess() {
+  m_last_response = std::chrono::steady_clock::now();
   m_gate->RecordSuccess();
   if (m_failures == 0) {
     return;
--- a/src/libs/entry/store_watcher.h
+++ b/src/libs/entry/store_watcher.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <random>
+#include <string>
 
 #include "cluster_state/cluster_state.h"
 
@@ -52,6 +53,11 @@
   // Returns whether the last call failed.
   bool is_store_unreachable() const { return m_failures > 0; }
 
+  // The kind as it appears in logs and metrics.
+  std::string kind_label() const;
+  // Time of the last usable response, or of the start if there was none.
+  cluster_state::SteadyTime last_response() const { return m_last_response; }
+
  private:
   boost::asio::awaitable<void> ListOrWatch();
   boost::asio::awaitable<void> List();
@@ -78,6 +84,8 @@
   // The last list may be stale and has not been compared with the floor yet.
   bool m_is_list_unverified = false;
   uint32_t m_failures = 0;
+  cluster_state::SteadyTime m_call_start;
+  cluster_state::SteadyTime m_last_response;
 };
 
 }  // namespace poplarsail::entry
--- a/src/libs/explain/diagnosis.cc
+++ b/src/libs/explain/diagnosis.cc
@@ -45,11 +45,17 @@
 // Whether the line reports a change of the daemon's own state: its lifecycle,
 // its access to the store or a loss of log lines.
 bool IsDaemonStateChange(const LogLine& line) {
-  static const std::set<std::string> kMessages = {
-      "started",      "ready",          "not ready",
-      "stopping",     "stopped",        "host stood still",
-      "store lost",   "store regained", "belief taken from peer",
-      "lines dropped"};
+  static const std::set<std::string> kMessages = {"started",
+                                                  "ready",
+                                                  "not ready",
+                                                  "stopping",
+                                                  "stopped",
+                                                  "host stood still",
+                                                  "store lost",
+                                                  "store regained",
+                                                  "belief taken from peer",
+                                                  "lines dropped",
+                                                  "configuration in force"};
   return kMessages.contains(line.message);
 }
 
--- a/tests/auto/entry/tst_metrics.cc
+++ b/tests/auto/entry/tst_metrics.cc
@@ -35,13 +35,25 @@
   const cluster_state::ClusterState cluster_state;
   StoreCallCounts store;
   store.refused = 3;
+  store.era = 4;
+  store.unusable_eras = 2;
   const PeerCounts peers;
-  const std::string text =
-      FormatMetrics({&packets, &steering, &cluster_state, &store, &peers});
+  const std::string text = FormatMetrics({&packets,
+                                          &steering,
+                                          &cluster_state,
+                                          &store,
+                                          &peers,
+                                          {{"upstreams", 2'500ms}}});
   CHECK_THAT(text,
              Contains("poplarsail_packets_total{reason=\"no-upstream\"} 7"));
   CHECK_THAT(text,
              Contains("poplarsail_store_calls_total{outcome=\"refused\"} 3"));
+  CHECK_THAT(text, Contains("poplarsail_store_era 4"));
+  CHECK_THAT(text, Contains("poplarsail_store_unusable_eras_total 2"));
+  CHECK_THAT(
+      text,
+      Contains(
+          "poplarsail_store_response_age_seconds{kind=\"upstreams\"} 2.5"));
   CHECK_THAT(text, Contains("poplarsail_response_seconds_bucket"));
   CHECK_THAT(text, Contains("poplarsail_opening_seconds_count 0"));
 }
