Replace a watch that a silent store lost before the bounds apply again

Callers saw "handled by version 26 or older; version 29 was acked more than 3000 ms before" after the store had been silent for less than a second.

Cause: a watch that the store never received looks like one without changes until its response is overdue. The wait was derived from detect_silence plus the bound, as if a change had that much time. But the bounds hold for every accepted change as soon as the store has served for detect_silence, and the watch was sent before that. Up to 4.5 s of waiting and 0.8 s for a late response exceed the 4 s. Drains and evacuations were watched by the same sum (3 and 5 s, in force after 4.8 and 7.1 s).

Ruled out: connections that fall silent (keep-alives end them after 3 s) and watches that were waiting before the silence (they survive it).

--- a/src/libs/entry/state_store.h
+++ b/src/libs/entry/state_store.h
@@ -47,6 +47,10 @@
                          const StoreCallCounts&) = default;
 };
 
+// The store responds to a watch without changes at the watch's deadline; a
+// response that is later than this counts as lost.
+inline constexpr cluster_state::milliseconds kWatchOverdueTime{800};
+
 // Source of the cluster state. Calls throw the errors of
 // objects/object_store.h.
 class StateStore {
@@ -57,9 +61,10 @@
       cluster_state::ObjectKind kind,
       ReadFreshness freshness) = 0;
 
-  // Waits for changes after revision `from`, at most until `deadline`. If the
-  // store was restored from a copy since, `from` may denote another change now:
-  // the caller compares the era of the result.
+  // Waits for changes after revision `from`, at most until `deadline`. Gives up
+  // on the response kWatchOverdueTime later, but not before the time that any
+  // call may take. If the store was restored from a copy since, `from` may
+  // denote another change now: the caller compares the era of the result.
   virtual boost::asio::awaitable<StateBatch> Watch(
       cluster_state::ObjectKind kind,
       uint64_t from,
--- a/src/libs/entry/watch_timing.cc
+++ b/src/libs/entry/watch_timing.cc
@@ -2,16 +2,18 @@
 
 #include <algorithm>
 
+#include "entry/state_store.h"
+
 namespace poplarsail::entry {
 
 namespace {
 
 using cluster_state::ObjectKind;
 
-// Time reserved after a watch has ended without a response: for the response to
-// be overdue, a new connection and a list of a slow store.
-constexpr milliseconds kRecoveryReserve{2'500};
-constexpr milliseconds kMinWait{1'000};
+// Time from the failure of a watch until the changes since are known: the delay
+// before the first retry, a new connection and a list.
+constexpr milliseconds kRecoveryTime{500};
+constexpr milliseconds kMinWait{200};
 // The store ends watches after 30 s at the latest.
 constexpr milliseconds kMaxWait{29'000};
 // The delay between watches takes at most this part of a bound.
@@ -36,9 +38,14 @@
   const milliseconds max_delay = kind == ObjectKind::kUpstreams
                                      ? kMaxUpstreamCoalesceDelay
                                      : kMaxCoalesceDelay;
-  return {std::clamp(bounds.detect_silence + bound - kRecoveryReserve, kMinWait,
-                     kMaxWait),
-          std::min(bound / kCoalesceFraction, max_delay)};
+  const milliseconds coalesce_delay =
+      std::min(bound / kCoalesceFraction, max_delay);
+  // A watch that a silent store never received looks like one without changes.
+  // What it misses has to be known once the store has served for
+  // `detect_silence`, or `bound` after the change if that is later.
+  const milliseconds wait = std::max(bounds.detect_silence, bound) -
+                            coalesce_delay - kWatchOverdueTime - kRecoveryTime;
+  return {std::clamp(wait, kMinWait, kMaxWait), coalesce_delay};
 }
 
 }  // namespace poplarsail::entry
--- a/src/libs/entry/watch_timing.h
+++ b/src/libs/entry/watch_timing.h
@@ -9,8 +9,8 @@
 
 // Bounds that the platform's operators set on how current a host must be.
 struct CurrencyBounds {
-  // A connection to the store that went silent has to be replaced within this
-  // time; the bounds below count from then.
+  // After a silence of the store or of a connection to it, the bounds below
+  // apply again to all accepted changes once this time has passed.
   milliseconds detect_silence{4'000};
   // An accepted change has to be in force within this time.
   milliseconds configuration{3'000};
