Send no retransmitted SYN to a service that its listener left

A retransmitted SYN that no other upstream could take went back to the upstream chosen first, even if the configuration in force no longer names that upstream's service.

The earlier upstream is retried only while the listener has its service; otherwise the flow is reset at once, which promises that nothing ran. The test failed before: forwarded instead of reset.

--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -15,6 +15,18 @@
   return kNames[static_cast<size_t>(reason)];
 }
 
+namespace {
+
+// Whether new flows of the listener may go to the upstream's service.
+bool SendsFlowsTo(const Listener& listener, const Upstream& upstream) {
+  const auto& shares = listener.record.shares;
+  return std::any_of(shares.begin(), shares.end(), [&](const auto& share) {
+    return share.weight > 0 && share.service == upstream.record.service;
+  });
+}
+
+}  // namespace
+
 Steering::Steering(std::unique_ptr<Placement> placement)
     : m_placement(std::move(placement)), m_flows(kFlowTableCapacity) {}
 
@@ -61,8 +73,11 @@
       request.service == nullptr ? nullptr : m_placement->Choose(request);
   if (chosen == nullptr && is_retransmit) {
     // Every other upstream is excluded or may not take the flow: retry the one
-    // that has not responded.
-    chosen = m_routing_table.FindUpstream(flow->upstream_id);
+    // that has not responded, unless the listener has left its service since.
+    Upstream* previous = m_routing_table.FindUpstream(flow->upstream_id);
+    if (previous != nullptr && SendsFlowsTo(listener, *previous)) {
+      chosen = previous;
+    }
   }
   if (chosen == nullptr) {
     return {Action::kReset, Reason::kNoUpstream};
--- a/tests/auto/flows/tst_steering.cc
+++ b/tests/auto/flows/tst_steering.cc
@@ -163,6 +163,27 @@
   CHECK(second.upstream->record.id != first.upstream->record.id);
 }
 
+TEST_CASE("A retransmitted SYN follows a changed service of its listener") {
+  FlowFixture fixture;
+  fixture.AddUpstream(1, "tally");
+  REQUIRE(fixture.steering.Decide(FlowFixture::Syn(1), fixture.now)
+              .upstream->record.id == 1);
+  fixture.EditConfiguration().listeners[0].shares = {{"archive", 1}};
+  fixture.ApplyConfiguration();
+  fixture.now += 200ms;
+  const FlowPacket retransmit = FlowFixture::Syn(1, kTallyListener, 1);
+  SECTION("no upstream of the new service") {
+    const Decision decision = fixture.steering.Decide(retransmit, fixture.now);
+    CHECK(decision.action == Action::kReset);
+    CHECK(decision.reason == Reason::kNoUpstream);
+  }
+  SECTION("an upstream of the new service") {
+    fixture.AddUpstream(2, "archive");
+    const Decision decision = fixture.steering.Decide(retransmit, fixture.now);
+    CHECK(decision.upstream->record.id == 2);
+  }
+}
+
 TEST_CASE("A SYN without a timely response is sent to a second upstream") {
   FlowFixture fixture;
   fixture.AddUpstream(1);
