Ask peers that have a newer configuration in force

After a restore of the store, a host that starts before the operators have written again lists an older configuration. It learned of the one in force with its next idle query to a peer, 2.5 to 7.5 s later, or later still where the peers asked first had started anew as well. Callers would see a route that is missing or an older service.

Responses to the queries at the start already state the configuration that the peer has in force. A host that finds it newer asks for the changes, a host that is queried by one with a newer configuration asks back, and for 5 s after the start queries are 1 s apart, in large fleets no closer than before. No calls to the store are added.

--- a/src/libs/entry/peer_exchange.cc
+++ b/src/libs/entry/peer_exchange.cc
@@ -42,7 +42,9 @@
 }
 
 void PeerExchange::Start() {
-  m_head_start_deadline = std::chrono::steady_clock::now() + kStoreHeadStart;
+  const auto now = std::chrono::steady_clock::now();
+  m_head_start_deadline = now + kStoreHeadStart;
+  m_startup_end = now + kStartupPeriod;
   m_server.Start();
   asio::co_spawn(*m_context, Run(), asio::detached);
 }
@@ -63,9 +65,7 @@
         asio::co_spawn(*m_context, QueryPeer(peer), asio::detached);
       }
     }
-    const auto interval = QueryInterval();
-    m_timer.expires_after(interval / 2 + std::chrono::milliseconds(
-                                             m_random() % interval.count()));
+    m_timer.expires_after(NextQueryDelay());
     boost::system::error_code cancelled;
     co_await m_timer.async_wait(
         asio::redirect_error(asio::use_awaitable, cancelled));
@@ -83,6 +83,10 @@
   if (is_useful && LacksKind(KnownVersionsOf(*m_cluster_state))) {
     co_await FetchFullState(peer);
   }
+  if (fleet && m_cluster_state->IsComplete() &&
+      IsConfigurationNewer(fleet->known)) {
+    co_await FetchChanges(peer);
+  }
 }
 
 asio::awaitable<void> PeerExchange::FetchFullState(model::Endpoint peer) {
@@ -92,18 +96,34 @@
     asio::steady_timer timer(*m_context, head_start);
     co_await timer.async_wait(asio::use_awaitable);
   }
-  if (m_is_fetching_full_state ||
-      !LacksKind(KnownVersionsOf(*m_cluster_state))) {
+  if (LacksKind(KnownVersionsOf(*m_cluster_state))) {
+    co_await FetchChanges(peer);
+  }
+}
+
+asio::awaitable<void> PeerExchange::FetchChanges(model::Endpoint peer) {
+  if (m_is_fetching) {
     co_return;
   }
-  m_is_fetching_full_state = true;
+  m_is_fetching = true;
   const auto body = co_await Get(peer, MakeQueryTarget(false));
-  m_is_fetching_full_state = false;
+  m_is_fetching = false;
   if (body) {
     Merge(peer, *body);
   }
 }
 
+bool PeerExchange::IsConfigurationNewer(const KnownVersions& known) const {
+  return known.configuration > KnownVersionsOf(*m_cluster_state).configuration;
+}
+
+void PeerExchange::QueryIfNewer(const model::Endpoint& peer,
+                                const KnownVersions& known) {
+  if (m_cluster_state->IsComplete() && IsConfigurationNewer(known)) {
+    asio::co_spawn(*m_context, FetchChanges(peer), asio::detached);
+  }
+}
+
 std::string PeerExchange::MakeQueryTarget(bool is_brief) const {
   return fmt::format("{}?known={}&from={}&findings={}&domain={}&brief={:d}",
                      kClusterStatePath,
@@ -175,10 +195,10 @@
 }
 
 HttpResponse PeerExchange::HandleQuery(const HttpQuery& query) {
-  RecordPeer(query);
   const auto known = query.find("known");
   const KnownVersions versions =
       ParseKnownVersions(known == query.end() ? "" : known->second);
+  RecordPeer(query, versions);
   const auto domain = query.find("domain");
   FleetView fleet = MakeFleetView(domain == query.end() ? "" : domain->second);
   fleet.known = KnownVersionsOf(*m_cluster_state);
@@ -215,7 +235,8 @@
   return m_full_state_message;
 }
 
-void PeerExchange::RecordPeer(const HttpQuery& query) {
+void PeerExchange::RecordPeer(const HttpQuery& query,
+                              const KnownVersions& known) {
   const auto value = [&query](const char* key) {
     const auto found = query.find(key);
     return found == query.end() ? std::string() : found->second;
@@ -234,6 +255,7 @@
   if (m_known_peers.size() > kMaxKnownPeers) {
     m_known_peers.pop_front();
   }
+  QueryIfNewer(*endpoint, known);
 }
 
 FleetView PeerExchange::MakeFleetView(const std::string& failure_domain) const {
@@ -290,4 +312,15 @@
   return std::max(kIdleQueryInterval, m_host_count * kIdleQueryIntervalPerHost);
 }
 
+std::chrono::milliseconds PeerExchange::NextQueryDelay() {
+  auto interval = QueryInterval();
+  if (std::chrono::steady_clock::now() < m_startup_end) {
+    interval =
+        std::min(interval, std::max(kStoreLostQueryInterval,
+                                    m_host_count * kIdleQueryIntervalPerHost));
+  }
+  return interval / 2 +
+         std::chrono::milliseconds(m_random() % interval.count());
+}
+
 }  // namespace poplarsail::entry
--- a/src/libs/entry/peer_exchange.h
+++ b/src/libs/entry/peer_exchange.h
@@ -33,6 +33,11 @@
 // In large fleets the interval is this long per host, so that each of three
 // seeds responds to at most 17 queries per second.
 inline constexpr std::chrono::milliseconds kIdleQueryIntervalPerHost{20};
+// A host that has just started may have listed an older configuration than the
+// one in force, from a store that was restored from a copy. For this long its
+// interval is at most kStoreLostQueryInterval, but kIdleQueryIntervalPerHost
+// holds.
+inline constexpr std::chrono::milliseconds kStartupPeriod{5'000};
 // Queries without progress for this long are abandoned.
 inline constexpr std::chrono::milliseconds kQueryTimeout{400};
 // A host without a cluster state requests a peer's only after this time, unless
@@ -96,8 +101,16 @@
  private:
   boost::asio::awaitable<void> Run();
   boost::asio::awaitable<void> QueryPeer(model::Endpoint peer);
-  // Requests the full state; at most one such request is in flight.
+  // Requests the full state if a kind is still missing after the store's head
+  // start.
   boost::asio::awaitable<void> FetchFullState(model::Endpoint peer);
+  // Requests what the peer knows and this host does not, unless such a request
+  // is in flight already.
+  boost::asio::awaitable<void> FetchChanges(model::Endpoint peer);
+  // Queries the peer back if it has a newer configuration in force.
+  void QueryIfNewer(const model::Endpoint& peer, const KnownVersions& known);
+  // Whether `known` has a newer configuration in force than this host.
+  bool IsConfigurationNewer(const KnownVersions& known) const;
   // Returns the body of the response, or nullopt if the query failed.
   boost::asio::awaitable<std::optional<std::string>> Get(model::Endpoint peer,
                                                          std::string target);
@@ -110,7 +123,7 @@
   };
 
   HttpResponse HandleQuery(const HttpQuery& query);
-  void RecordPeer(const HttpQuery& query);
+  void RecordPeer(const HttpQuery& query, const KnownVersions& known);
   FleetView MakeFleetView(const std::string& failure_domain) const;
   const std::string& FullStateMessage(cluster_state::SteadyTime now);
   std::optional<FleetView> Merge(const model::Endpoint& peer,
@@ -118,6 +131,8 @@
   // Returns the next peer to query: seeds and known peers in turn.
   model::Endpoint NextPeer();
   std::chrono::milliseconds QueryInterval() const;
+  // The interval, shorter after the start, with jitter.
+  std::chrono::milliseconds NextQueryDelay();
 
   boost::asio::io_context* m_context;
   cluster_state::ClusterState* m_cluster_state;
@@ -128,7 +143,8 @@
   uint32_t m_host_count = 0;
   size_t m_next_peer = 0;
   cluster_state::SteadyTime m_head_start_deadline;
-  bool m_is_fetching_full_state = false;
+  cluster_state::SteadyTime m_startup_end;
+  bool m_is_fetching = false;
   SendRateLimiter m_full_state_limiter{kFullStateBytesPerSecond};
   // The cached full state and the state that it was encoded from.
   std::string m_full_state_message;
--- a/tests/auto/entry/tst_peer_exchange.cc
+++ b/tests/auto/entry/tst_peer_exchange.cc
@@ -25,9 +25,9 @@
   return acceptor.local_endpoint().port();
 }
 
-void Complete(ClusterState* cluster_state) {
+void Complete(ClusterState* cluster_state, int64_t version = 3) {
   cluster_state::Configuration configuration;
-  configuration.version = 3;
+  configuration.version = version;
   cluster_state->ApplyList<cluster_state::Configuration>(
       ObjectKind::kConfiguration,
       {ClusterState::ConfigurationEntry{"main", 5, configuration}}, {0, 9},
@@ -140,6 +140,56 @@
            [&]() { return host.cluster_state.configuration()->version == 4; });
 }
 
+// A store that was restored from a copy lists an older configuration until the
+// operators write theirs again.
+TEST_CASE("A host that lists an older configuration gets the one in force") {
+  using namespace std::chrono_literals;
+  boost::asio::io_context context;
+  const uint16_t seed_port = FreePort(&context);
+  Host seed(&context, seed_port, {});
+  std::unique_ptr<Host> host;
+  const auto start = std::chrono::steady_clock::now();
+  SECTION("from a seed") {
+    Complete(&seed.cluster_state, 4);
+    host = std::make_unique<Host>(&context, FreePort(&context),
+                                  std::vector{Loopback(seed_port)});
+    RunUntil(&context, [&]() { return host->fleet.host_count > 0; });
+    Complete(&host->cluster_state);
+    RunUntil(&context, [&]() {
+      return host->cluster_state.configuration()->version == 4;
+    });
+  }
+  SECTION("from a host that queries it") {
+    Complete(&seed.cluster_state);
+    // By then the seed has completed its first queries.
+    boost::asio::steady_timer timer(context, 400ms);
+    bool is_over = false;
+    timer.async_wait([&](const auto&) { is_over = true; });
+    RunUntil(&context, [&]() { return is_over; });
+    host = std::make_unique<Host>(&context, FreePort(&context),
+                                  std::vector{Loopback(seed_port)});
+    Complete(&host->cluster_state, 4);
+    RunUntil(&context, [&]() {
+      return seed.cluster_state.configuration()->version == 4;
+    });
+  }
+  SECTION("from a seed that got it after the host's start") {
+    Complete(&seed.cluster_state);
+    host = std::make_unique<Host>(&context, FreePort(&context),
+                                  std::vector{Loopback(seed_port)});
+    Complete(&host->cluster_state);
+    RunUntil(&context, [&]() { return host->fleet.host_count > 0; });
+    cluster_state::Configuration newer;
+    newer.version = 4;
+    seed.cluster_state.UseConfiguration(newer);
+    RunUntil(&context, [&]() {
+      return host->cluster_state.configuration()->version == 4;
+    });
+  }
+  // The bound on configuration changes of the smallest deployments is 3 s.
+  CHECK(std::chrono::steady_clock::now() - start < 2s);
+}
+
 TEST_CASE("Full states are sent at a limited rate") {
   // When 300 hosts start, each requests 450 KB (sweep-300).
   SendRateLimiter limiter(1'000'000);
