Send the configuration in force to a host that has none

A host that started while the store held a configuration that cannot be decoded never became ready: it queried its peers, and they held back the configuration in force, because a host that states version 0 was taken for one of an earlier release that states no version.

Whether a host states a version is now kept apart from its having none.

--- a/src/libs/entry/cluster_state_codec.cc
+++ b/src/libs/entry/cluster_state_codec.cc
@@ -163,7 +163,7 @@
 bool LacksConfigurationInForce(const ClusterState& cluster_state,
                                const KnownVersions& known) {
   const auto& in_force = cluster_state.configuration();
-  if (!in_force || in_force->version <= known.configuration) {
+  if (!in_force || in_force->version <= known.configuration.value_or(0)) {
     return false;
   }
   const uint64_t since =
@@ -237,12 +237,14 @@
 constexpr size_t kKnownNumbers = 2 * cluster_state::kObjectKindCount + 1;
 
 KnownVersions KnownVersionsOf(std::vector<uint64_t> numbers) {
-  numbers.resize(kKnownNumbers);
   KnownVersions known;
+  if (numbers.size() == kKnownNumbers) {
+    known.configuration = static_cast<int64_t>(numbers.back());
+  }
+  numbers.resize(kKnownNumbers);
   for (size_t i = 0; i < known.listed.size(); ++i) {
     known.listed[i] = {numbers[known.listed.size() + i], numbers[i]};
   }
-  known.configuration = static_cast<int64_t>(numbers.back());
   return known;
 }
 
@@ -261,9 +263,9 @@
   for (size_t i = 0; i < known.listed.size(); ++i) {
     known.listed[i] = cluster_state.listed_version(static_cast<ObjectKind>(i));
   }
-  if (cluster_state.configuration()) {
-    known.configuration = cluster_state.configuration()->version;
-  }
+  known.configuration = cluster_state.configuration()
+                            ? cluster_state.configuration()->version
+                            : 0;
   return known;
 }
 
@@ -274,7 +276,7 @@
       return true;
     }
   }
-  return known.configuration > 0 && own.configuration > known.configuration;
+  return known.configuration && own.configuration > known.configuration;
 }
 
 bool LacksKind(const KnownVersions& known) {
@@ -386,8 +388,11 @@
   for (const cluster_state::StoreVersion& listed : known.listed) {
     eras.push_back(listed.era);
   }
-  return fmt::format("{},{},{}", fmt::join(RevisionsOf(known), ","),
-                     fmt::join(eras, ","), known.configuration);
+  const std::string listed = fmt::format(
+      "{},{}", fmt::join(RevisionsOf(known), ","), fmt::join(eras, ","));
+  return known.configuration
+             ? fmt::format("{},{}", listed, *known.configuration)
+             : listed;
 }
 
 KnownVersions ParseKnownVersions(const std::string& text) {
--- a/src/libs/entry/cluster_state_codec.h
+++ b/src/libs/entry/cluster_state_codec.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -26,11 +27,12 @@
 
 // What a host knows of the store: the version up to which each kind is known,
 // with revision 0 if it was never listed, and the version of the configuration
-// in force, 0 if there is none.
+// in force: 0 if there is none, nullopt if an earlier release does not state
+// it.
 struct KnownVersions {
   std::array<cluster_state::StoreVersion, cluster_state::kObjectKindCount>
       listed{};
-  int64_t configuration = 0;
+  std::optional<int64_t> configuration;
 
   friend bool operator==(const KnownVersions&, const KnownVersions&) = default;
 };
--- a/tests/auto/entry/tst_cluster_state_codec.cc
+++ b/tests/auto/entry/tst_cluster_state_codec.cc
@@ -185,6 +185,11 @@
   CHECK(ParseKnownVersions("") == KnownVersions{});
   CHECK(IsNewer(MakeClusterState(), Known(9, 8, 9)));
   CHECK_FALSE(IsNewer(MakeClusterState(), Known(9, 9, 9)));
+  KnownVersions without_configuration = Known(9, 9, 9);
+  without_configuration.configuration = 0;
+  CHECK(ParseKnownVersions(ToText(without_configuration)) ==
+        without_configuration);
+  CHECK(IsNewer(MakeClusterState(), without_configuration));
   // A later era is newer whatever the revisions are.
   CHECK_FALSE(IsNewer(MakeClusterState(), Known(1, 1, 1, 1)));
 }
--- a/tests/auto/entry/tst_peer_exchange.cc
+++ b/tests/auto/entry/tst_peer_exchange.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace poplarsail::entry {
 namespace {
@@ -25,9 +26,14 @@
   return acceptor.local_endpoint().port();
 }
 
-void Complete(ClusterState* cluster_state, int64_t version = 3) {
-  cluster_state::Configuration configuration;
-  configuration.version = version;
+// Applies lists of all kinds. Without a `version` the listed configuration has
+// no value.
+void Complete(ClusterState* cluster_state, std::optional<int64_t> version = 3) {
+  std::optional<cluster_state::Configuration> configuration;
+  if (version) {
+    configuration.emplace();
+    configuration->version = *version;
+  }
   cluster_state->ApplyList<cluster_state::Configuration>(
       ObjectKind::kConfiguration,
       {ClusterState::ConfigurationEntry{"main", 5, configuration}}, {0, 9},
@@ -190,6 +196,24 @@
   CHECK(std::chrono::steady_clock::now() - start < 2s);
 }
 
+TEST_CASE("A host whose store has an invalid configuration asks its peers") {
+  boost::asio::io_context context;
+  const uint16_t seed_port = FreePort(&context);
+  Host seed(&context, seed_port, {});
+  Complete(&seed.cluster_state);
+  Host host(&context, FreePort(&context), {Loopback(seed_port)});
+  // What cannot be decoded counts as removed.
+  Complete(&host.cluster_state, std::nullopt);
+  REQUIRE_FALSE(host.cluster_state.IsComplete());
+  const auto start = std::chrono::steady_clock::now();
+  RunUntil(&context, [&]() {
+    return host.cluster_state.IsComplete() ||
+           std::chrono::steady_clock::now() - start > std::chrono::seconds(2);
+  });
+  REQUIRE(host.cluster_state.IsComplete());
+  CHECK(host.cluster_state.configuration()->version == 3);
+}
+
 TEST_CASE("Full states are sent at a limited rate") {
   // When 300 hosts start, each requests 450 KB (sweep-300).
   SendRateLimiter limiter(1'000'000);
