Treat a refusal that states no era as a refusal

Once a store has stated its era, a response without one is not used. That held for refusals too: a watch from a revision that is gone (status 410) was repeated for ever instead of listing anew, so the host stayed on its old configuration.

--- a/tests/auto/platform/tst_http_state_store.cc
+++ b/tests/auto/platform/tst_http_state_store.cc
@@ -212,6 +212,20 @@
   CHECK_NOTHROW(list());
 }
 
+TEST_CASE("A refusal that states no era is a refusal") {
+  StoreFixture fixture;
+  fixture.store.set_era(3);
+  const uint64_t from = fixture.store.revision();
+  fixture.Await(fixture.state.List(ObjectKind::kUpstreams,
+                                   entry::ReadFreshness::kLatest));
+  fixture.store.Put("servers", "i-1", UpstreamSpec("ready"));
+  fixture.store.Compact();
+  fixture.store.set_era(0);
+  CHECK_THROWS_AS(fixture.Await(fixture.state.Watch(ObjectKind::kUpstreams,
+                                                    from, FromNow(1s))),
+                  objects::CompactedError);
+}
+
 TEST_CASE("Refused calls and lost responses have different errors") {
   StoreFixture fixture;
   SECTION("history was compacted") {
