Soak: silence the store between changes

The soak made the store silent for 0.3 to 3 s, but rarely right after a change, so no watch was sent and lost while the store was back within a second.

--- a/soak/scenario.cc
+++ b/soak/scenario.cc
@@ -22,8 +22,9 @@
 using std::chrono::milliseconds;
 
 constexpr uint16_t kPacketPort = 18'172;
-// Distinguishes the random numbers of restores from those of other faults.
+// Distinguish the random numbers of these faults from those of others.
 constexpr uint64_t kRestoreSeed = 0x726573746f7265;
+constexpr uint64_t kSilenceSeed = 0x73696c656e6365;
 constexpr std::array<const char*, 3> kDomains = {"regina", "saskatoon",
                                                  "brandon"};
 // A host is checked once no fault has affected it for this long.
@@ -308,7 +309,6 @@
 }
 
 void Scenario::InjectFaults() {
-  using Fault = void (Scenario::*)();
   static constexpr std::array<Fault, 13> kFaults = {
       &Scenario::KillHost,
       &Scenario::PauseHost,
@@ -333,16 +333,21 @@
   while (at < m_options.fault_time) {
     const Fault fault = kFaults[m_random() % kFaults.size()];
     const uint64_t fault_seed = m_random();
-    RunAfter(at, [this, fault, fault_seed]() {
-      std::mt19937_64 saved_random =
-          std::exchange(m_random, std::mt19937_64(fault_seed));
-      ++m_fault_count;
-      (this->*fault)();
-      m_random = saved_random;
-    });
+    ScheduleFault(at, fault, fault_seed);
     at += RandomDuration(150, 900);
   }
   ScheduleRestores();
+  ScheduleStoreSilences();
+}
+
+void Scenario::ScheduleFault(milliseconds delay, Fault fault, uint64_t seed) {
+  RunAfter(delay, [this, fault, seed]() {
+    std::mt19937_64 saved_random =
+        std::exchange(m_random, std::mt19937_64(seed));
+    ++m_fault_count;
+    (this->*fault)();
+    m_random = saved_random;
+  });
 }
 
 void Scenario::ScheduleRestores() {
@@ -358,6 +363,14 @@
   }
 }
 
+void Scenario::ScheduleStoreSilences() {
+  std::mt19937_64 random(m_options.seed ^ kSilenceSeed);
+  for (uint64_t left = 1 + random() % 2; left > 0; --left) {
+    const milliseconds at(random() % m_options.fault_time.count());
+    ScheduleFault(at, &Scenario::SilenceStoreBetweenChanges, random());
+  }
+}
+
 bool Scenario::InjectDefectiveChange() {
   // These defects are detected only on hosts that no other fault affects.
   if (IsDefectInjected(Invariant::kDrainHonored)) {
--- a/soak/scenario.h
+++ b/soak/scenario.h
@@ -80,7 +80,14 @@
                         const std::string& domain,
                         const model::Ipv4Endpoint& endpoint);
   void WriteRegistration(const Upstream& upstream);
+  using Fault = void (Scenario::*)();
+  // Runs `fault` after `delay` with random numbers from `seed`, which select
+  // the affected host or upstream.
+  void ScheduleFault(std::chrono::milliseconds delay,
+                     Fault fault,
+                     uint64_t seed);
   void ScheduleRestores();
+  void ScheduleStoreSilences();
   // Copies the store now and at intervals.
   void SnapshotStore();
   // Writes again what the store lost in a restore, each writer at its own time
@@ -108,6 +115,9 @@
   void InjectStoreFault();
   // Takes the store away for a moment and restores it from an older copy.
   void RestoreStore();
+  // Makes the store silent for less than a second, shortly after one change and
+  // shortly before others: watches that are sent meanwhile are lost.
+  void SilenceStoreBetweenChanges();
   void PartitionHostFromDomain();
   void CrashUpstream();
   void DrainUpstream();
--- a/soak/scenario_faults.cc
+++ b/soak/scenario_faults.cc
@@ -126,6 +126,27 @@
   });
 }
 
+void Scenario::SilenceStoreBetweenChanges() {
+  // Hosts send their next watches 300 to 500 ms after a change.
+  const milliseconds pause = RandomDuration(50, 280);
+  const milliseconds time = RandomDuration(200, 1'000);
+  AddOrRemoveListener();
+  ScaleUpService();
+  RunAfter(pause, [this, time]() {
+    m_store_disturbed_until =
+        std::max(m_store_disturbed_until, Clock::now() + time);
+    m_store->set_mode(standins::StoreMode::kUnresponsive);
+    RunAfter(time,
+             [this]() { m_store->set_mode(standins::StoreMode::kServe); });
+  });
+  for (const Fault change :
+       {&Scenario::DrainUpstream, &Scenario::AddOrRemoveListener,
+        &Scenario::EvacuateDomain}) {
+    ScheduleFault(pause + RandomDuration(0, time.count() + 500), change,
+                  m_random());
+  }
+}
+
 void Scenario::PartitionHostFromDomain() {
   Host* host = RandomHost();
   const std::string domain = RandomDomain();
