--- a/src/libs/entry/peer_exchange.cc
+++ b/src/libs/entry/peer_exchange.cc
@@ -198,7 +198,9 @@
   const auto known = query.find("known");
   const KnownVersions versions =
       ParseKnownVersions(known == query.end() ? "" : known->second);
-  RecordPeer(query, versions);
+  if (const auto peer = RecordPeer(query)) {
+    QueryIfNewer(*peer, versions);
+  }
   const auto domain = query.find("domain");
   FleetView fleet = MakeFleetView(domain == query.end() ? "" : domain->second);
   fleet.known = KnownVersionsOf(*m_cluster_state);
@@ -235,8 +237,8 @@
   return m_full_state_message;
 }
 
-void PeerExchange::RecordPeer(const HttpQuery& query,
-                              const KnownVersions& known) {
+std::optional<model::Endpoint> PeerExchange::RecordPeer(
+    const HttpQuery& query) {
   const auto value = [&query](const char* key) {
     const auto found = query.find(key);
     return found == query.end() ? std::string() : found->second;
@@ -244,7 +246,7 @@
   const auto endpoint = model::ParseEndpoint(value("from"));
   const auto report_endpoint = model::ParseIpv4Endpoint(value("findings"));
   if (!endpoint || !report_endpoint) {
-    return;
+    return std::nullopt;
   }
   const auto now = std::chrono::steady_clock::now();
   const auto oldest = now - kKnownPeerExpiryIntervals * QueryInterval();
@@ -255,7 +257,7 @@
   if (m_known_peers.size() > kMaxKnownPeers) {
     m_known_peers.pop_front();
   }
-  QueryIfNewer(*endpoint, known);
+  return *endpoint;
 }
 
 FleetView PeerExchange::MakeFleetView(const std::string& failure_domain) const {
--- a/src/libs/entry/peer_exchange.h
+++ b/src/libs/entry/peer_exchange.h
@@ -33,10 +33,9 @@
 // In large fleets the interval is this long per host, so that each of three
 // seeds responds to at most 17 queries per second.
 inline constexpr std::chrono::milliseconds kIdleQueryIntervalPerHost{20};
-// A host that has just started may have listed an older configuration than the
-// one in force, from a store that was restored from a copy. For this long its
-// interval is at most kStoreLostQueryInterval, but kIdleQueryIntervalPerHost
-// holds.
+// For this long after its start a host queries at kStoreLostQueryInterval, in
+// large fleets at kIdleQueryIntervalPerHost: a store that was restored from a
+// copy may have listed an older configuration than the one in force.
 inline constexpr std::chrono::milliseconds kStartupPeriod{5'000};
 // Queries without progress for this long are abandoned.
 inline constexpr std::chrono::milliseconds kQueryTimeout{400};
@@ -123,7 +122,8 @@
   };
 
   HttpResponse HandleQuery(const HttpQuery& query);
-  void RecordPeer(const HttpQuery& query, const KnownVersions& known);
+  // Returns the endpoint of the querying host, or nullopt if it is not stated.
+  std::optional<model::Endpoint> RecordPeer(const HttpQuery& query);
   FleetView MakeFleetView(const std::string& failure_domain) const;
   const std::string& FullStateMessage(cluster_state::SteadyTime now);
   std::optional<FleetView> Merge(const model::Endpoint& peer,
