Compare a list with the latest data also if that arrives late

At a start all kinds but evacuations may be listed from stale data, and are listed anew if they are older than the evacuations' list. The comparison was made once, 0.3 s after the list. If the evacuations' list had not arrived by then, because the store was slow or the call was lost, the stale list was never compared and its configuration stayed in force until watches caught up.

The comparison now waits until there is something to compare with.

--- a/src/libs/entry/store_watcher.cc
+++ b/src/libs/entry/store_watcher.cc
@@ -79,14 +79,16 @@
     co_await Sleep(m_timing.coalesce_delay);
     co_return;
   }
-  if (std::exchange(m_is_list_unverified, false) &&
-      m_floor->IsStale(m_watch_version)) {
-    telemetry::Log(telemetry::LogLevel::kInfo, "state",
-                   "list is stale, listing anew",
-                   {{"kind", KindToLabel(m_kind)},
-                    {"revision", std::to_string(m_watch_version.revision)}});
-    m_needs_latest_list = true;
-    co_await List();
+  if (m_is_list_unverified && m_floor->IsKnown()) {
+    m_is_list_unverified = false;
+    if (m_floor->IsStale(m_watch_version)) {
+      telemetry::Log(telemetry::LogLevel::kInfo, "state",
+                     "list is stale, listing anew",
+                     {{"kind", KindToLabel(m_kind)},
+                      {"revision", std::to_string(m_watch_version.revision)}});
+      m_needs_latest_list = true;
+      co_await List();
+    }
   }
   // While the store is lost, only a response shows that it is back: a watch
   // that waits for changes could delay that by the whole wait.
--- a/src/libs/entry/version_floor.h
+++ b/src/libs/entry/version_floor.h
@@ -14,6 +14,8 @@
   void Raise(const cluster_state::StoreVersion& version) {
     m_version = std::max(m_version, version);
   }
+  // Whether such a list has arrived.
+  bool IsKnown() const { return m_version.revision > 0; }
   bool IsStale(const cluster_state::StoreVersion& version) const {
     return version < m_version;
   }
--- a/tests/auto/entry/tst_store_watcher.cc
+++ b/tests/auto/entry/tst_store_watcher.cc
@@ -274,6 +274,26 @@
   CHECK(fixture.cluster_state.upstreams().at("2").is_unregistered);
 }
 
+TEST_CASE("A stale list is found out when the reference list arrives late") {
+  // A slow store answers the lists of a start one after the other.
+  WatcherFixture fixture;
+  fixture.store.Then([](uint64_t) {
+    return StateBatch{{Upstream(1, 5), Upstream(2, 6)}, {0, 7}};
+  });
+  fixture.store.Then([&fixture](uint64_t from) {
+    CHECK(from == 7);
+    fixture.floor.Raise({0, 9});
+    return StateBatch{{}, {0, 7}};
+  });
+  fixture.store.Then([&fixture](uint64_t) {
+    CHECK(fixture.store.lists == 2);
+    CHECK(fixture.store.last_freshness == ReadFreshness::kLatest);
+    return StateBatch{{Upstream(1, 5)}, {0, 9}};
+  });
+  fixture.RunScript();
+  CHECK(fixture.cluster_state.upstreams().at("2").is_unregistered);
+}
+
 TEST_CASE("After compaction the latest data is listed") {
   // A stale list could lead to a revision whose history is gone again.
   WatcherFixture fixture;
