Design of flow scheduling under heavy load, interfaces

Overload, uneven upstreams and releases show that hosts which place flows by what they see themselves shed work while other upstreams have room, and that priorities have no effect.

The configuration's priorities, latency targets and timeouts of listeners and the slots of upstreams are decoded and passed between hosts. Nothing uses them yet; malformed values count as not stated and reject nothing.

--- a/src/libs/cluster_state/records.h
+++ b/src/libs/cluster_state/records.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,8 @@
   // Start of the upstream's process in milliseconds since the Unix epoch; 0 if
   // not stated.
   int64_t started_unix_ms = 0;
+  // Number of requests that it processes at the same time; 0 if not stated.
+  uint32_t slots = 0;
 
   friend bool operator==(const UpstreamRecord&,
                          const UpstreamRecord&) = default;
@@ -58,6 +61,12 @@
   std::string name;
   model::Ipv4Endpoint endpoint;
   std::vector<ServiceShare> shares;
+  // Priority of the requests, 0 is the highest; nullopt if not stated.
+  std::optional<uint32_t> priority;
+  // Target for the time to the response; 0 if not stated.
+  milliseconds latency_target{0};
+  // How long clients wait for the response; 0 if not stated.
+  milliseconds timeout{0};
 
   friend bool operator==(const ListenerRecord&,
                          const ListenerRecord&) = default;
--- a/src/libs/entry/cluster_state_codec.cc
+++ b/src/libs/entry/cluster_state_codec.cc
@@ -39,7 +39,8 @@
           {"failure_domain", record.failure_domain},
           {"draining", record.phase == cluster_state::UpstreamPhase::kDraining},
           {"cold_remaining_ms", cold_remaining.count()},
-          {"started_unix_ms", record.started_unix_ms}};
+          {"started_unix_ms", record.started_unix_ms},
+          {"slots", record.slots}};
 }
 
 void Decode(const json& value,
@@ -57,6 +58,8 @@
     record->cold_until = now + cluster_state::milliseconds(cold_remaining);
   }
   record->started_unix_ms = value.at("started_unix_ms").get<int64_t>();
+  // Hosts of earlier releases do not send it.
+  record->slots = value.value("slots", uint32_t{0});
 }
 
 json Encode(const cluster_state::Configuration& configuration,
@@ -68,9 +71,15 @@
     for (const cluster_state::ServiceShare& share : listener.shares) {
       shares.push_back({share.service, share.weight});
     }
-    listeners.push_back({{"name", listener.name},
-                         {"endpoint", Encode(listener.endpoint)},
-                         {"shares", shares}});
+    json encoded = {{"name", listener.name},
+                    {"endpoint", Encode(listener.endpoint)},
+                    {"shares", shares},
+                    {"latency_target_ms", listener.latency_target.count()},
+                    {"timeout_ms", listener.timeout.count()}};
+    if (listener.priority) {
+      encoded["priority"] = *listener.priority;
+    }
+    listeners.push_back(std::move(encoded));
   }
   json services = json::array();
   for (const cluster_state::ServiceRecord& service : configuration.services) {
@@ -97,6 +106,14 @@
       listener.shares.push_back(
           {share.at(0).get<std::string>(), share.at(1).get<uint32_t>()});
     }
+    // Hosts of earlier releases do not send these.
+    if (item.contains("priority")) {
+      listener.priority = item.at("priority").get<uint32_t>();
+    }
+    listener.latency_target = cluster_state::milliseconds(
+        item.value("latency_target_ms", int64_t{0}));
+    listener.timeout =
+        cluster_state::milliseconds(item.value("timeout_ms", int64_t{0}));
     configuration->listeners.push_back(std::move(listener));
   }
   for (const json& item : value.at("services")) {
--- /dev/null
+++ b/src/libs/load/completion_predictor.cc
@@ -0,0 +1,1 @@
+#include "load/completion_predictor.h"
--- /dev/null
+++ b/src/libs/load/speed_estimator.cc
@@ -0,0 +1,1 @@
+#include "load/speed_estimator.h"
--- /dev/null
+++ b/src/libs/load/work_estimator.cc
@@ -0,0 +1,1 @@
+#include "load/work_estimator.h"
--- /dev/null
+++ b/src/libs/load/work_estimator.h
@@ -0,0 +1,47 @@
+#ifndef LOAD_WORK_ESTIMATOR_H_
+#define LOAD_WORK_ESTIMATOR_H_
+
+#include <cstdint>
+
+#include "cluster_state/records.h"
+
+namespace poplarsail::load {
+
+using cluster_state::SteadyTime;
+
+// The work of a listener's requests in milliseconds on an upstream of speed 1.
+struct WorkEstimate {
+  double mean_ms = 0;
+  double median_ms = 0;
+  double p95_ms = 0;
+  // Effective number of samples; old ones count less.
+  double samples = 0;
+  SteadyTime last_sample;
+
+  friend bool operator==(const WorkEstimate&, const WorkEstimate&) = default;
+};
+
+// Learns the work of a listener's requests in bounded memory.
+class WorkEstimator {
+ public:
+  // `prior_ms` holds until there are samples.
+  explicit WorkEstimator(double prior_ms);
+
+  // Adds the work of one request: its response time, free of waiting, times the
+  // speed of its upstream.
+  void Add(double work_ms, SteadyTime now);
+  // Takes over what another host has learned, unless this one knows more.
+  void Seed(const WorkEstimate& estimate, SteadyTime now);
+
+  WorkEstimate Estimate(SteadyTime now) const;
+  // The mean remaining work of a request whose upstream has done `done_ms` of
+  // work on it so far.
+  double RemainingMs(double done_ms, SteadyTime now) const;
+
+ private:
+  double m_prior_ms;
+};
+
+}  // namespace poplarsail::load
+
+#endif  // LOAD_WORK_ESTIMATOR_H_
--- /dev/null
+++ b/src/libs/scheduling/message_codec.cc
@@ -0,0 +1,1 @@
+#include "scheduling/message_codec.h"
--- /dev/null
+++ b/src/libs/scheduling/placement_client.cc
@@ -0,0 +1,1 @@
+#include "scheduling/placement_client.h"
--- /dev/null
+++ b/src/libs/scheduling/service_scheduler.cc
@@ -0,0 +1,1 @@
+#include "scheduling/service_scheduler.h"
--- /dev/null
+++ b/src/libs/scheduling/single_request_detector.cc
@@ -0,0 +1,1 @@
+#include "scheduling/single_request_detector.h"
--- a/tests/auto/entry/tst_cluster_state_codec.cc
+++ b/tests/auto/entry/tst_cluster_state_codec.cc
@@ -19,8 +19,12 @@
   ClusterState cluster_state;
   cluster_state::Configuration configuration;
   configuration.version = 3;
-  configuration.listeners = {
-      {"alerts", {0xc6120001, 8443}, {{"tally", 90}, {"archive", 10}}}};
+  configuration.listeners = {{"alerts",
+                              {0xc6120001, 8443},
+                              {{"tally", 90}, {"archive", 10}},
+                              1,
+                              120ms,
+                              500ms}};
   configuration.services = {{"tally", 4.5, "/health"}};
   configuration.flow_idle_timeout = 15s;
   cluster_state.ApplyList<cluster_state::Configuration>(
@@ -34,6 +38,7 @@
   upstream.failure_domain = "regina";
   upstream.cold_until = kNow + 1500ms;
   upstream.started_unix_ms = 1'700'000'000'000;
+  upstream.slots = 2;
   cluster_state.ApplyList<cluster_state::UpstreamRecord>(
       ObjectKind::kUpstreams, {ClusterState::UpstreamEntry{"i-1", 7, upstream}},
       {0, 9}, kNow);
@@ -58,6 +63,7 @@
   const cluster_state::UpstreamRecord& record =
       receiver.upstreams().at("i-1").record;
   CHECK(record.cold_until == later + 1500ms);
+  CHECK(record.slots == 2);
   CHECK(record.id == 0x1122334455667788);
   CHECK(record.started_unix_ms == 1'700'000'000'000);
   CHECK(KnownVersionsOf(receiver) == KnownVersionsOf(sender));
--- /dev/null
+++ b/tests/auto/load/tst_completion_predictor.cc
@@ -0,0 +1,2 @@
+#include "load/completion_predictor.h"
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/auto/load/tst_speed_estimator.cc
@@ -0,0 +1,2 @@
+#include "load/speed_estimator.h"
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/auto/load/tst_work_estimator.cc
@@ -0,0 +1,2 @@
+#include "load/work_estimator.h"
+#include <catch2/catch.hpp>
--- a/tests/auto/platform/tst_object_decoder.cc
+++ b/tests/auto/platform/tst_object_decoder.cc
@@ -128,6 +128,10 @@
   CHECK(model::ToString(listener.endpoint) == "198.18.0.1:8443");
   CHECK(listener.shares == std::vector<cluster_state::ServiceShare>{
                                {"huvo11a", 90}, {"wuno96b", 10}});
+  CHECK(listener.priority == 2);
+  CHECK(listener.latency_target == 120ms);
+  CHECK(listener.timeout == 500ms);
+  CHECK(entry.value->listeners[1].priority == 1);
   CHECK(entry.value->listeners[1].shares ==
         std::vector<cluster_state::ServiceShare>{{"huvo11a", 1}});
   REQUIRE(entry.value->services.size() == 1);
@@ -135,6 +139,23 @@
   CHECK(entry.value->flow_idle_timeout == 15s);
 }
 
+// A malformed value that only scheduling needs must not reject a configuration
+// that was accepted before.
+TEST_CASE("Malformed optional fields of a route count as not stated") {
+  const json value = GENERATE(json("high"), json(-1), json(1.5), json(1e12),
+                              json(int64_t{1} << 40), json(nullptr));
+  json spec = ConfigurationSpec();
+  spec["routes"][0]["priority"] = value;
+  spec["routes"][0]["aim_ms"] = value;
+  spec["routes"][0]["timeout_ms"] = value;
+  const auto entry = std::get<cluster_state::ClusterState::ConfigurationEntry>(
+      DecodeObject(ObjectKind::kConfiguration, Object("main", spec), kNow));
+  REQUIRE(entry.value.has_value());
+  CHECK(entry.value->listeners[0].priority == std::nullopt);
+  CHECK(entry.value->listeners[0].latency_target == 0ms);
+  CHECK(entry.value->listeners[0].timeout == 0ms);
+}
+
 TEST_CASE("An invalid configuration is rejected as a whole") {
   json spec = ConfigurationSpec();
   SECTION("no version") {
--- /dev/null
+++ b/tests/auto/scheduling/tst_placement_client.cc
@@ -0,0 +1,2 @@
+#include "scheduling/placement_client.h"
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/auto/scheduling/tst_service_scheduler.cc
@@ -0,0 +1,2 @@
+#include "scheduling/service_scheduler.h"
+#include <catch2/catch.hpp>
