--- /dev/null
+++ b/src/libs/entry/flow_scheduling.h
@@ -0,0 +1,78 @@
+#ifndef ENTRY_FLOW_SCHEDULING_H_
+#define ENTRY_FLOW_SCHEDULING_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cluster_state/cluster_state.h"
+#include "entry/peer_socket.h"
+#include "scheduling/scheduling.h"
+
+namespace poplarsail::entry {
+
+// Connects the placement of this host's flows with the schedulers: sends and
+// receives their messages, and runs the schedulers of the services for which
+// this host is one.
+class FlowScheduling {
+ public:
+  // Executes what schedulers decide about held flows.
+  class Delegate {
+   public:
+    virtual ~Delegate() = default;
+
+    // Returns whether the flow was placed there; it was not if the upstream is
+    // unknown here or may not take new flows.
+    virtual bool PlaceFlow(uint32_t token, uint64_t upstream_id) = 0;
+    virtual void PlaceFlowLocally(uint32_t token) = 0;
+    virtual void RefuseFlow(uint32_t token,
+                            scheduling::RefusalReason reason) = 0;
+  };
+
+  struct Options {
+    scheduling::Candidate own;
+    std::string failure_domain;
+    bool is_enabled = true;
+  };
+
+  // `socket` and `delegate` outlive this object.
+  FlowScheduling(boost::asio::io_context* context,
+                 PeerSocket* socket,
+                 Delegate* delegate,
+                 Options options);
+  ~FlowScheduling();
+
+  // Call after each change of the cluster state.
+  void Update(const cluster_state::ClusterState& cluster_state);
+  void SetLocalCandidates(const std::vector<scheduling::Candidate>& candidates);
+  // A few hosts in each other failure domain, which pass announcements on to
+  // their own scheduler.
+  void SetRemotePeers(const std::vector<model::Ipv4Endpoint>& peers);
+
+  // Whether new flows of the service are scheduled: its listeners state their
+  // terms, its upstreams their slots, and its flows carry one request each.
+  bool IsScheduled(const std::string& service) const;
+
+  // Asks for the placement of a flow and returns its token.
+  uint32_t Request(const std::string& service,
+                   scheduling::PlacementRequest request);
+  // Returns a token for a flow that was placed without a request.
+  uint32_t NewToken();
+  void OnPlaced(const std::string& service,
+                uint32_t token,
+                uint64_t upstream_id);
+  void OnCompleted(const scheduling::Completion& completion);
+
+  scheduling::SingleRequestDetector& detector();
+
+ private:
+  struct State;
+  std::unique_ptr<State> m_state;
+};
+
+}  // namespace poplarsail::entry
+
+#endif  // ENTRY_FLOW_SCHEDULING_H_
