Count flows that ended as ended, start new upstreams with the mean load

Cause: the client's last acknowledgements came after its FIN had erased the record and opened a new one, which stayed until it was evicted as idle. The count was a memory of the flows of the last seconds, in which an upstream that had just started looked empty to all hosts at once.

Change: the record of an ended flow is kept for 2 s. Placement counts recent placements instead, which decay with a time constant of 2 s, and an upstream that is added starts with the mean load of the others of its service and failure domain.

--- a/src/libs/flows/flow_table.cc
+++ b/src/libs/flows/flow_table.cc
@@ -24,13 +24,15 @@
 
 void FlowTable::EvictIdle(
     SteadyTime oldest,
+    SteadyTime oldest_closed,
     const std::function<void(const FlowRecord&)>& on_removed) {
   for (auto item = m_records.begin(); item != m_records.end();) {
-    if (item->second.last_packet >= oldest) {
+    const FlowRecord& record = item->second;
+    if (record.last_packet >= (record.is_closed ? oldest_closed : oldest)) {
       ++item;
       continue;
     }
-    on_removed(item->second);
+    on_removed(record);
     item = m_records.erase(item);
   }
 }
--- a/src/libs/flows/flow_table.h
+++ b/src/libs/flows/flow_table.h
@@ -26,6 +26,9 @@
   SteadyTime previous_sent;
   bool is_awaiting_response = false;
   bool is_established = false;
+  // The client has ended the flow. The record is kept for a while, so that the
+  // last acknowledgements of the flow do not count as a new one.
+  bool is_closed = false;
   // The overdue response was already counted as a timeout of the upstream.
   bool is_timeout_recorded = false;
   uint32_t sequence_end = 0;
@@ -43,13 +46,12 @@
   // Returns the record of the flow and creates it if needed. Returns nullptr if
   // the table is full.
   FlowRecord* FindOrCreate(const FlowKey& key);
-  void Erase(const FlowKey& key) { m_records.erase(key); }
-
   void ForEach(const std::function<void(const FlowKey&, FlowRecord*)>& visit);
 
-  // Removes records without packets since `oldest` and calls `on_removed` for
-  // each.
+  // Removes records without packets since `oldest`, and those closed before
+  // `oldest_closed`, and calls `on_removed` for each.
   void EvictIdle(SteadyTime oldest,
+                 SteadyTime oldest_closed,
                  const std::function<void(const FlowRecord&)>& on_removed);
 
   size_t size() const { return m_records.size(); }
--- a/src/libs/flows/local_first_placement.cc
+++ b/src/libs/flows/local_first_placement.cc
@@ -41,7 +41,8 @@
 
 double LocalFirstPlacement::ComputeCost(const Upstream& upstream,
                                         SteadyTime now) const {
-  double cost = 1.0 + upstream.open_flows + upstream.RemainingLostFlows(now);
+  double cost = 1.0 + upstream.open_flows + upstream.RecentPlacements(now) +
+                upstream.RemainingLostFlows(now);
   if (upstream.record.failure_domain != m_failure_domain) {
     cost = kRemoteCostFactor * (cost + kRemoteCostOffset);
   }
--- a/src/libs/flows/routing_table.cc
+++ b/src/libs/flows/routing_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 #include <xxhash.h>
@@ -34,6 +35,12 @@
   return lost_flows * std::max(0.0, 1.0 - since / recovery_time);
 }
 
+double Upstream::RecentPlacements(SteadyTime now) const {
+  const std::chrono::duration<double> since = now - placements_at;
+  const std::chrono::duration<double> decay_time = kPlacementDecayTime;
+  return recent_placements * std::exp(-since / decay_time);
+}
+
 void RoutingTable::Update(const cluster_state::ClusterState& cluster_state,
                           SteadyTime now) {
   if (cluster_state.generation() == m_generation) {
@@ -62,8 +69,34 @@
   if (cluster_state.configuration()) {
     UpdateListeners(*cluster_state.configuration());
   }
+  const bool is_first = m_upstreams.empty();
   UpdateUpstreams(cluster_state, now);
   RebuildIndex();
+  for (const auto& [id, upstream] : m_upstreams) {
+    upstream->has_start_load |= is_first;
+    SetStartLoad(upstream.get(), now);
+  }
+}
+
+void RoutingTable::SetStartLoad(Upstream* upstream, SteadyTime now) {
+  if (std::exchange(upstream->has_start_load, true)) {
+    return;
+  }
+  double sum = 0;
+  size_t count = 0;
+  for (const Upstream* other : m_services[upstream->record.service].upstreams) {
+    const bool is_peer =
+        other != upstream &&
+        other->record.failure_domain == upstream->record.failure_domain;
+    if (!is_peer) {
+      continue;
+    }
+    sum += other->RecentPlacements(now) + other->open_flows;
+    ++count;
+  }
+  upstream->recent_placements =
+      count == 0 ? 0 : sum / static_cast<double>(count);
+  upstream->placements_at = now;
 }
 
 void RoutingTable::UpdateListeners(
@@ -119,6 +152,7 @@
     upstream =
         RefreshUpstream(std::move(upstream), known->second, cluster_state);
     AddToIndex(upstream.get());
+    SetStartLoad(upstream.get(), now);
     m_upstreams[change.upstream_id] = std::move(upstream);
   } else if (upstream != nullptr) {
     m_recently_removed[upstream->tag_base] = now + kRemovedUpstreamRetention;
--- a/src/libs/flows/routing_table.h
+++ b/src/libs/flows/routing_table.h
@@ -30,6 +30,12 @@
   // Flows that were reset when the upstream last failed a check.
   uint32_t lost_flows = 0;
   SteadyTime lost_at;
+  // New flows that this host has placed here, decaying with
+  // kPlacementDecayTime, as of `placements_at`. Other hosts place flows alike,
+  // so this also estimates what they have placed.
+  double recent_placements = 0;
+  SteadyTime placements_at;
+  bool has_start_load = false;
   // Moving average of the time to the first packet of a response.
   double response_ms = 0;
   SteadyTime check_started;
@@ -45,6 +51,11 @@
   // Lost flows that still count as load after the upstream recovered. Decreases
   // linearly to 0 within kRecoveryTime.
   double RemainingLostFlows(SteadyTime now) const;
+  double RecentPlacements(SteadyTime now) const;
+  void RecordPlacement(SteadyTime now) {
+    recent_placements = RecentPlacements(now) + 1;
+    placements_at = now;
+  }
   bool AcceptsNewFlows() const {
     return record.phase == cluster_state::UpstreamPhase::kServing &&
            !is_evacuated && !has_ambiguous_tag;
@@ -61,6 +72,9 @@
   uint32_t weight_sum = 0;
 };
 
+// Time constant of the decay of recent placements. A flow of one request ends
+// before the hosts that placed it see another one at the same upstream.
+inline constexpr std::chrono::seconds kPlacementDecayTime{2};
 // Time until a recovered upstream gets its full share of new flows again.
 // Longer than a flapping upstream stays up.
 inline constexpr std::chrono::seconds kRecoveryTime{8};
@@ -104,6 +118,9 @@
       std::unique_ptr<Upstream> upstream,
       const cluster_state::KnownUpstream& known,
       const cluster_state::ClusterState& cluster_state) const;
+  // Starts an upstream with the mean load of the others of its service and
+  // failure domain. Without load it would look best to all hosts at once.
+  void SetStartLoad(Upstream* upstream, SteadyTime now);
   void RebuildIndex();
   void AddToIndex(Upstream* upstream);
   void RemoveFromIndex(Upstream* upstream);
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -97,6 +97,7 @@
     AwaitResponse(flow, chosen, syn_timeout, now);
     flow->sequence_end = packet.sequence + 1;
   }
+  chosen->RecordPlacement(now);
   return {Action::kForward,
           is_retransmit ? Reason::kPlacedAgain : Reason::kPlaced, chosen,
           MakeTag(packet.key.listener, chosen->tag_base), now + syn_timeout};
@@ -152,6 +153,7 @@
   }
   flow->last_packet = now;
   if (flow->upstream_id != 0 || !flow->is_awaiting_response) {
+    // Includes flows that have ended.
     DetachFlow(*flow);
     *flow = FlowRecord{};
     flow->last_packet = now;
@@ -196,6 +198,9 @@
                                                 FlowRecord* flow,
                                                 Upstream* upstream,
                                                 SteadyTime now) {
+  if (flow->is_closed) {
+    return std::nullopt;
+  }
   const bool is_new_flow = flow->upstream_id != upstream->record.id;
   // The upstream that got the SYN first responded after all, late.
   const bool is_late_handshake =
@@ -241,7 +246,8 @@
   flow->ack_number = packet.ack_number;
   if (packet.is_fin || packet.is_rst) {
     DetachFlow(*flow);
-    m_flows.Erase(packet.key);
+    flow->is_awaiting_response = false;
+    flow->is_closed = true;
     return std::nullopt;
   }
   return has_new_data ? std::optional(flow->response_deadline) : std::nullopt;
@@ -325,6 +331,7 @@
   flow->previous_upstream_id = flow->upstream_id;
   flow->previous_sent = flow->awaiting_response_since;
   AttachFlow(flow, other);
+  other->RecordPlacement(now);
   AwaitResponse(flow, other,
                 m_response_timeouts.SynTimeout(other->record.failure_domain),
                 now);
@@ -375,7 +382,7 @@
       upstream->liveness.health(now) != Health::kPresumedDead;
   upstream->liveness.RecordFailedCheck(now);
   m_flows.ForEach([&](const FlowKey& key, FlowRecord* flow) {
-    if (flow->upstream_id != upstream_id) {
+    if (flow->upstream_id != upstream_id || flow->is_closed) {
       return;
     }
     FlowPacket packet;
@@ -493,7 +500,8 @@
 }
 
 void Steering::DetachFlow(const FlowRecord& flow) {
-  Upstream* upstream = m_routing_table.FindUpstream(flow.upstream_id);
+  Upstream* upstream =
+      flow.is_closed ? nullptr : m_routing_table.FindUpstream(flow.upstream_id);
   if (upstream == nullptr) {
     return;
   }
@@ -514,7 +522,7 @@
 }
 
 void Steering::EvictIdleFlows(SteadyTime now) {
-  m_flows.EvictIdle(now - m_flow_idle_timeout,
+  m_flows.EvictIdle(now - m_flow_idle_timeout, now - kClosedFlowRetention,
                     [this](const FlowRecord& flow) { DetachFlow(flow); });
 }
 
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -24,6 +24,10 @@
 // Records of flows without packets are evicted after this time unless the
 // configuration sets another.
 inline constexpr std::chrono::seconds kDefaultFlowIdleTimeout{15};
+// The record of a flow that its client has ended is kept for this time. The
+// upstream sends its last packets again for longer, but the client's
+// acknowledgements of them then count for a single new flow at most.
+inline constexpr milliseconds kClosedFlowRetention{2'000};
 // A tag that identifies no known upstream may belong to one that this host has
 // not learned of yet, up to the delay between two watches after the others.
 // Packets of such a flow are dropped for this time before the flow is reset.
--- a/tests/auto/flows/tst_placement.cc
+++ b/tests/auto/flows/tst_placement.cc
@@ -113,6 +113,52 @@
   CHECK(placed == 2);
 }
 
+// Load pattern: flows of one request that ends within milliseconds. No host has
+// more than a few open, so their number says nothing about the load.
+TEST_CASE("Short flows spread by recent placements") {
+  FlowFixture fixture;
+  for (uint64_t id = 1; id <= 4; ++id) {
+    fixture.AddUpstream(id);
+  }
+  std::map<uint64_t, int> placed;
+  for (uint16_t port = 1; port <= 80; ++port) {
+    const Decision opened = fixture.OpenFlow(port);
+    ++placed[opened.upstream->record.id];
+    FlowPacket fin = FlowFixture::Data(port, opened.tag, 251, 900);
+    fin.data_bytes = 0;
+    fin.is_fin = true;
+    fixture.now += 20ms;
+    fixture.steering.Decide(fin, fixture.now);
+  }
+  for (uint64_t id = 1; id <= 4; ++id) {
+    CHECK(placed.at(id) >= 15);
+    CHECK(placed.at(id) <= 25);
+  }
+}
+
+// Load pattern: a release. All hosts see the new upstream at the same moment,
+// and each one sees no flow there.
+TEST_CASE("A new upstream gets at most its share of new flows at once") {
+  FlowFixture fixture;
+  for (uint64_t id = 1; id <= 10; ++id) {
+    fixture.AddUpstream(id);
+  }
+  PlaceFlows(&fixture, 200);
+  auto added = FlowFixture::MakeUpstream(11, "tally", "regina");
+  const bool is_cold = GENERATE(false, true);
+  added.cold_until = fixture.now + (is_cold ? 2s : 0s);
+  fixture.PutUpstream(added);
+  std::map<uint64_t, int> placed;
+  for (uint16_t port = 1'001; port <= 1'022; ++port) {
+    const Decision opened =
+        fixture.steering.Decide(FlowFixture::Syn(port), fixture.now);
+    ++placed[opened.upstream->record.id];
+    fixture.now += 5ms;
+  }
+  // An even share is two flows.
+  CHECK(placed[11] <= (is_cold ? 2 : 4));
+}
+
 TEST_CASE("Lost flows count as load of a recovered upstream") {
   // A flapping upstream would otherwise get all new flows after each recovery.
   FlowFixture fixture;
--- a/tests/auto/flows/tst_steering.cc
+++ b/tests/auto/flows/tst_steering.cc
@@ -522,6 +522,48 @@
   }
 }
 
+// Guards against counting flows that have ended: after the client's FIN it
+// still acknowledges the upstream's last packets, and each such flow stayed
+// open here until it was evicted as idle.
+TEST_CASE("Acknowledgements after the end of a flow do not reopen it") {
+  FlowFixture fixture;
+  fixture.AddUpstream(1);
+  const Decision opened = fixture.OpenFlow(7);
+  fixture.now += 20ms;
+  FlowPacket packet = FlowFixture::Data(7, opened.tag, 251, 900);
+  packet.data_bytes = 0;
+  packet.is_fin = true;
+  fixture.steering.Decide(packet, fixture.now);
+  const Upstream* upstream = fixture.steering.routing_table().FindUpstream(1);
+  CHECK(upstream->open_flows == 0);
+
+  packet.is_fin = false;
+  for (int i = 0; i < 3; ++i) {
+    fixture.now += 5ms;
+    ++packet.ack_number;
+    const Decision decision = fixture.steering.Decide(packet, fixture.now);
+    CHECK(decision.action == Action::kForward);
+  }
+  CHECK(upstream->open_flows == 0);
+  CHECK(upstream->flows_awaiting_response == 0);
+
+  SECTION("A failed check does not reset it") {
+    const CheckResultDecision result = fixture.steering.HandleCheckResult(
+        1, CheckOutcome::kNoResponse, fixture.now + 1s);
+    CHECK(result.flows_to_reset.empty());
+  }
+  SECTION("Its record is evicted before those of idle flows") {
+    fixture.now += kClosedFlowRetention + 10ms;
+    fixture.steering.EvictIdleFlows(fixture.now);
+    CHECK(fixture.steering.flow_table().size() == 0);
+    CHECK(upstream->open_flows == 0);
+  }
+  SECTION("Its client may open another one from the same port") {
+    fixture.OpenFlow(7);
+    CHECK(upstream->open_flows == 1);
+  }
+}
+
 TEST_CASE("Records of idle flows are evicted") {
   FlowFixture fixture;
   fixture.AddUpstream(1);
