Let a scheduler place new flows, tell it what becomes of them

Steering asks a FlowScheduler for the upstream of a new flow of a scheduled service, keeps its SYN meanwhile, and reports when the flow no longer occupies its upstream. The first sign of the response frees the place. Services that are not scheduled are placed as before.

--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -18,10 +18,13 @@
 // Logs only decisions that place or reset a flow; packets of placed flows are
 // just counted.
 void LogDecision(const flows::FlowPacket& packet,
-                 const flows::Decision& decision) {
+                 const flows::Decision& decision,
+                 RefusalLog* refusal_log) {
+  const bool is_refusal = decision.action == flows::Action::kReset;
   const bool is_logged =
-      decision.action == flows::Action::kReset ||
-      (packet.is_syn && decision.action == flows::Action::kForward);
+      is_refusal ? refusal_log->ShouldLog(decision.reason,
+                                          std::chrono::steady_clock::now())
+                 : packet.is_syn && decision.action == flows::Action::kForward;
   if (!is_logged) {
     return;
   }
@@ -143,11 +146,26 @@
 
 void PacketLoop::Poll() {
   CheckForStall();
+  LogSuppressedRefusals();
   if (m_is_catching_up) {
     ReceivePackets();
   }
 }
 
+void PacketLoop::LogSuppressedRefusals() {
+  const auto now = std::chrono::steady_clock::now();
+  for (size_t i = 0; i < flows::kReasonCount; ++i) {
+    const auto reason = static_cast<flows::Reason>(i);
+    const auto count = m_refusal_log.TakeSuppressed(reason, now);
+    if (!count) {
+      continue;
+    }
+    telemetry::Log(telemetry::LogLevel::kInfo, "packets", "more flows refused",
+                   {{"reason", std::string(flows::ToString(reason))},
+                    {"count", std::to_string(*count)}});
+  }
+}
+
 void PacketLoop::ReceivePackets() {
   CheckForStall();
   const auto now = std::chrono::steady_clock::now();
@@ -195,7 +213,7 @@
       StartCheck(*decision.check);
     }
     if (decision.resend) {
-      LogDecision(due->packet, *decision.resend);
+      LogDecision(due->packet, *decision.resend, &m_refusal_log);
       Execute(due->packet, *decision.resend, due->datagram);
       Flush();
     }
@@ -281,11 +299,14 @@
   }
   const flows::Decision decision = m_steering->Decide(*packet, now);
   ++m_counts.by_reason[static_cast<size_t>(decision.reason)];
-  LogDecision(*packet, decision);
+  LogDecision(*packet, decision, &m_refusal_log);
   Execute(*packet, decision, datagram);
   if (decision.response_deadline) {
     m_pending_responses.Add(*packet, datagram, *decision.response_deadline);
   }
+  if (decision.action == flows::Action::kAwaitPlacement) {
+    m_held_syns[decision.token] = {*packet, {datagram.begin(), datagram.end()}};
+  }
   if (decision.action == flows::Action::kHold) {
     Hold(datagram, now);
   }
@@ -308,10 +329,60 @@
       return;
     case flows::Action::kDrop:
     case flows::Action::kHold:
+    case flows::Action::kAwaitPlacement:
       return;
   }
 }
 
+bool PacketLoop::PlaceFlow(uint32_t token, uint64_t upstream_id) {
+  const auto held = m_held_syns.find(token);
+  if (held == m_held_syns.end()) {
+    return false;
+  }
+  const flows::Decision decision =
+      m_steering->PlaceHeldFlow(held->second.packet, token, upstream_id,
+                                std::chrono::steady_clock::now());
+  if (decision.action != flows::Action::kForward) {
+    return false;
+  }
+  const HeldSyn syn = std::move(held->second);
+  m_held_syns.erase(held);
+  ExecuteLater(syn, decision);
+  return true;
+}
+
+void PacketLoop::PlaceFlowLocally(uint32_t token) {
+  if (const auto held = m_held_syns.extract(token)) {
+    ExecuteLater(held.mapped(), m_steering->PlaceHeldFlowLocally(
+                                    held.mapped().packet, token,
+                                    std::chrono::steady_clock::now()));
+  }
+}
+
+void PacketLoop::RefuseFlow(uint32_t token, scheduling::RefusalReason reason) {
+  if (const auto held = m_held_syns.extract(token)) {
+    const flows::Reason cause = reason == scheduling::RefusalReason::kNoUpstream
+                                    ? flows::Reason::kNoUpstream
+                                    : flows::Reason::kNoRoom;
+    ExecuteLater(held.mapped(),
+                 m_steering->RefuseHeldFlow(held.mapped().packet, token, cause,
+                                            std::chrono::steady_clock::now()));
+  }
+}
+
+void PacketLoop::ExecuteLater(const HeldSyn& syn,
+                              const flows::Decision& decision) {
+  ++m_counts.by_reason[static_cast<size_t>(decision.reason)];
+  LogDecision(syn.packet, decision, &m_refusal_log);
+  Execute(syn.packet, decision, syn.datagram);
+  Flush();
+  if (decision.response_deadline) {
+    m_pending_responses.Add(syn.packet, syn.datagram,
+                            *decision.response_deadline);
+    ScheduleResponseTimeouts();
+  }
+}
+
 void PacketLoop::SendReset(const flows::FlowPacket& packet) {
   const PacketHeader header = m_codec->EncodeReset(packet);
   m_socket.Queue(model::ToEndpoint({packet.key.client.address, m_client_port}),
--- a/src/libs/entry/packet_loop.h
+++ b/src/libs/entry/packet_loop.h
@@ -10,11 +10,14 @@
 #include <functional>
 #include <optional>
 #include <span>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "entry/entry_settings.h"
 #include "entry/flow_codec.h"
+#include "entry/flow_scheduling.h"
+#include "entry/refusal_log.h"
 #include "entry/upstream_checker.h"
 #include "flows/flows.h"
 #include "transport/transport.h"
@@ -45,7 +48,7 @@
 
 // Reads packets from the socket, passes them to the steering and executes its
 // decisions.
-class PacketLoop {
+class PacketLoop : public FlowScheduling::Delegate {
  public:
   PacketLoop(boost::asio::io_context* context,
              const EntrySettings& settings,
@@ -75,6 +78,11 @@
   // Handles the packets that wait in the socket, before the daemon stops.
   void Drain() { ReceivePackets(); }
 
+  // FlowScheduling::Delegate:
+  bool PlaceFlow(uint32_t token, uint64_t upstream_id) override;
+  void PlaceFlowLocally(uint32_t token) override;
+  void RefuseFlow(uint32_t token, scheduling::RefusalReason reason) override;
+
   // Handles held packets again after the cluster state has changed.
   void RetryHeldPackets();
 
@@ -88,8 +96,17 @@
     flows::SteadyTime deadline;
   };
 
+  // A SYN that waits for the scheduler's answer.
+  struct HeldSyn {
+    flows::FlowPacket packet;
+    std::vector<uint8_t> datagram;
+  };
+
   void WaitForPackets();
+  // Executes a decision on a packet that arrived before.
+  void ExecuteLater(const HeldSyn& syn, const flows::Decision& decision);
   void CheckForStall();
+  void LogSuppressedRefusals();
   void ReceivePackets();
   void HandlePacket(std::span<const uint8_t> datagram, flows::SteadyTime now);
   void Execute(const flows::FlowPacket& packet,
@@ -117,6 +134,8 @@
   // When the response timer expires, or nullopt if it is not armed.
   std::optional<flows::SteadyTime> m_response_timer_expiry;
   std::deque<HeldPacket> m_held_packets;
+  std::unordered_map<uint32_t, HeldSyn> m_held_syns;
+  RefusalLog m_refusal_log;
   PacketCounts m_counts;
   flows::SteadyTime m_last_packet;
   std::function<void(uint64_t)> m_on_upstream_failure;
--- a/src/libs/flows/flow_table.cc
+++ b/src/libs/flows/flow_table.cc
@@ -22,17 +22,16 @@
   }
 }
 
-void FlowTable::EvictIdle(
-    SteadyTime oldest,
-    SteadyTime oldest_closed,
-    const std::function<void(const FlowRecord&)>& on_removed) {
+void FlowTable::EvictIdle(SteadyTime oldest,
+                          SteadyTime oldest_closed,
+                          const std::function<void(FlowRecord*)>& on_removed) {
   for (auto item = m_records.begin(); item != m_records.end();) {
     const FlowRecord& record = item->second;
     if (record.last_packet >= (record.is_closed ? oldest_closed : oldest)) {
       ++item;
       continue;
     }
-    on_removed(record);
+    on_removed(&item->second);
     item = m_records.erase(item);
   }
 }
--- a/src/libs/flows/flow_table.h
+++ b/src/libs/flows/flow_table.h
@@ -29,6 +29,14 @@
   // The client has ended the flow. The record is kept for a while, so that the
   // last acknowledgements of the flow do not count as a new one.
   bool is_closed = false;
+  // The SYN waits for the scheduler's answer.
+  bool is_held = false;
+  // The first SYN passed this host.
+  bool has_seen_start = false;
+  // Identifies the flow at the scheduler while it waits for a place or occupies
+  // its upstream, else 0.
+  uint32_t token = 0;
+  uint32_t request_count = 0;
   // The overdue response was already counted as a timeout of the upstream.
   bool is_timeout_recorded = false;
   uint32_t sequence_end = 0;
@@ -52,7 +60,7 @@
   // `oldest_closed`, and calls `on_removed` for each.
   void EvictIdle(SteadyTime oldest,
                  SteadyTime oldest_closed,
-                 const std::function<void(const FlowRecord&)>& on_removed);
+                 const std::function<void(FlowRecord*)>& on_removed);
 
   size_t size() const { return m_records.size(); }
 
--- a/src/libs/flows/flows.h
+++ b/src/libs/flows/flows.h
@@ -3,6 +3,7 @@
 #define FLOWS_FLOWS_H_
 
 #include "flows/flow_packet.h"
+#include "flows/flow_scheduler.h"
 #include "flows/flow_table.h"
 #include "flows/liveness.h"
 #include "flows/local_first_placement.h"
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -9,24 +9,13 @@
 
 std::string_view ToString(Reason reason) {
   static constexpr std::array<std::string_view, kReasonCount> kNames = {
-      "placed",      "placed-again",     "tagged",        "no-listener",
-      "no-upstream", "upstream-gone",    "upstream-dead", "unknown-tag",
-      "no-tag",      "belief-incomplete"};
+      "placed",      "placed-again",      "tagged",        "no-listener",
+      "no-upstream", "upstream-gone",     "upstream-dead", "unknown-tag",
+      "no-tag",      "belief-incomplete", "scheduled",     "held",
+      "no-room"};
   return kNames[static_cast<size_t>(reason)];
 }
 
-namespace {
-
-// Whether new flows of the listener may go to the upstream's service.
-bool SendsFlowsTo(const Listener& listener, const Upstream& upstream) {
-  const auto& shares = listener.record.shares;
-  return std::any_of(shares.begin(), shares.end(), [&](const auto& share) {
-    return share.weight > 0 && share.service == upstream.record.service;
-  });
-}
-
-}  // namespace
-
 Steering::Steering(std::unique_ptr<Placement> placement)
     : m_placement(std::move(placement)), m_flows(kFlowTableCapacity) {}
 
@@ -56,53 +45,6 @@
                          : DecideTagged(packet, now);
 }
 
-Decision Steering::DecideSyn(const FlowPacket& packet,
-                             const Listener& listener,
-                             SteadyTime now) {
-  FlowRecord* flow = m_flows.FindOrCreate(packet.key);
-  PlacementRequest request{&listener, ChooseService(packet, listener), {}, now};
-  const bool is_retransmit = flow != nullptr && flow->is_awaiting_response &&
-                             !flow->is_established &&
-                             packet.retransmit_count > 0;
-  if (is_retransmit) {
-    RecordFlowTimeout(flow, now);
-    request.excluded_upstream_ids = {flow->upstream_id,
-                                     flow->previous_upstream_id};
-  }
-  Upstream* chosen =
-      request.service == nullptr ? nullptr : m_placement->Choose(request);
-  if (chosen == nullptr && is_retransmit) {
-    // Every other upstream is excluded or may not take the flow: retry the one
-    // that has not responded, unless the listener has left its service since.
-    Upstream* previous = m_routing_table.FindUpstream(flow->upstream_id);
-    if (previous != nullptr && SendsFlowsTo(listener, *previous)) {
-      chosen = previous;
-    }
-  }
-  if (chosen == nullptr) {
-    return {Action::kReset, Reason::kNoUpstream};
-  }
-  chosen->liveness.RecordAttempt(now);
-  const milliseconds syn_timeout =
-      m_response_timeouts.SynTimeout(chosen->record.failure_domain);
-  if (flow != nullptr) {
-    if (!is_retransmit) {
-      DetachFlow(*flow);
-      *flow = FlowRecord{};
-    }
-    flow->previous_upstream_id = is_retransmit ? flow->upstream_id : 0;
-    flow->previous_sent = flow->awaiting_response_since;
-    AttachFlow(flow, chosen);
-    flow->last_packet = now;
-    AwaitResponse(flow, chosen, syn_timeout, now);
-    flow->sequence_end = packet.sequence + 1;
-  }
-  chosen->RecordPlacement(now);
-  return {Action::kForward,
-          is_retransmit ? Reason::kPlacedAgain : Reason::kPlaced, chosen,
-          MakeTag(packet.key.listener, chosen->tag_base), now + syn_timeout};
-}
-
 Decision Steering::DecideTagged(const FlowPacket& packet, SteadyTime now) {
   const Ipv4Endpoint& listener = packet.key.listener;
   Upstream* upstream = m_routing_table.FindByTag(listener, packet.tag);
@@ -154,6 +96,7 @@
   flow->last_packet = now;
   if (flow->upstream_id != 0 || !flow->is_awaiting_response) {
     // Includes flows that have ended.
+    ReleasePlace(flow, scheduling::Outcome::kAbandoned);
     DetachFlow(*flow);
     *flow = FlowRecord{};
     flow->last_packet = now;
@@ -166,34 +109,6 @@
           Reason::kUnknownTag};
 }
 
-const Service* Steering::ChooseService(const FlowPacket& packet,
-                                       const Listener& listener) const {
-  if (listener.weight_sum == 0) {
-    return nullptr;
-  }
-  // Retransmissions of a SYN have to choose the same share.
-  const uint64_t point = FlowKeyHash()(packet.key) % listener.weight_sum;
-  uint64_t share_end = 0;
-  const Service* fallback = nullptr;
-  for (const cluster_state::ServiceShare& share : listener.record.shares) {
-    const uint64_t share_start = share_end;
-    share_end += share.weight;
-    const Service* service = m_routing_table.FindService(share.service);
-    const bool is_usable =
-        service != nullptr && share.weight > 0 &&
-        std::any_of(service->upstreams.begin(), service->upstreams.end(),
-                    [](const Upstream* u) { return u->AcceptsNewFlows(); });
-    if (!is_usable) {
-      continue;
-    }
-    if (point >= share_start && point < share_end) {
-      return service;
-    }
-    fallback = service;
-  }
-  return fallback;
-}
-
 std::optional<SteadyTime> Steering::TrackPacket(const FlowPacket& packet,
                                                 FlowRecord* flow,
                                                 Upstream* upstream,
@@ -212,6 +127,7 @@
     upstream->liveness.RecordResponse(now);
   }
   if (is_new_flow) {
+    ReleasePlace(flow, scheduling::Outcome::kFailed);
     DetachFlow(*flow);
     *flow = FlowRecord{};
     AttachFlow(flow, upstream);
@@ -227,7 +143,7 @@
       !is_new_flow && (!flow->is_established || is_acknowledgement ||
                        packet.ack_number != flow->ack_number);
   if (is_response) {
-    RecordFlowResponse(*flow, upstream, now);
+    RecordFlowResponse(flow, upstream, now);
     SetAwaitingResponse(flow, upstream, false);
   }
   const bool has_new_data =
@@ -235,6 +151,9 @@
       (!flow->is_established ||
        static_cast<int32_t>(end - flow->sequence_end) > 0);
   if (has_new_data) {
+    if (!flow->is_awaiting_response || flow->request_count == 0) {
+      CountRequest(packet.key, flow);
+    }
     flow->sequence_end = end;
     AwaitResponse(flow, upstream,
                   m_response_timeouts.RequestTimeout(upstream->record.service),
@@ -245,6 +164,10 @@
   flow->is_established = true;
   flow->ack_number = packet.ack_number;
   if (packet.is_fin || packet.is_rst) {
+    ReleasePlace(flow, scheduling::Outcome::kAbandoned);
+    if (flow->has_seen_start && packet.is_fin && m_scheduler != nullptr) {
+      m_scheduler->OnFlowEnded(packet.key.listener, flow->request_count);
+    }
     DetachFlow(*flow);
     flow->is_awaiting_response = false;
     flow->is_closed = true;
@@ -274,15 +197,16 @@
   upstream->liveness.RecordResponseTimeout(flow->awaiting_response_since, now);
 }
 
-void Steering::RecordFlowResponse(const FlowRecord& flow,
+void Steering::RecordFlowResponse(FlowRecord* flow,
                                   Upstream* upstream,
                                   SteadyTime now) {
   upstream->liveness.RecordResponse(now);
-  if (!flow.is_awaiting_response) {
+  if (!flow->is_awaiting_response) {
     return;
   }
-  const auto time = now - flow.awaiting_response_since;
-  if (flow.is_established) {
+  const auto time = now - flow->awaiting_response_since;
+  if (flow->is_established) {
+    ReleasePlace(flow, scheduling::Outcome::kResponded, time);
     m_response_times.Add(time);
     m_response_timeouts.RecordResponse(upstream->record.service, time);
     const std::chrono::duration<double, std::milli> response = time;
@@ -292,198 +216,11 @@
     m_handshake_times.Add(time);
     m_response_timeouts.RecordHandshake(upstream->record.failure_domain, time);
   }
-  if (now <= flow.response_deadline) {
+  if (now <= flow->response_deadline) {
     m_last_timely_response = now;
   }
 }
 
-ResponseTimeoutDecision Steering::DecideOnTimeout(const FlowPacket& packet,
-                                                  SteadyTime now) {
-  FlowRecord* flow = m_flows.Find(packet.key);
-  // A later packet of the flow has a later deadline and an entry of its own.
-  if (flow == nullptr || !flow->is_awaiting_response ||
-      flow->is_established == packet.is_syn || now < flow->response_deadline) {
-    return {};
-  }
-  Upstream* upstream = m_routing_table.FindUpstream(flow->upstream_id);
-  if (upstream == nullptr ||
-      upstream->liveness.last_response() > flow->awaiting_response_since) {
-    return {};
-  }
-  if (packet.is_syn) {
-    upstream->liveness.RecordSynTimeout(now);
-  }
-  ResponseTimeoutDecision decision;
-  decision.check = StartCheck(upstream, now) ? upstream : nullptr;
-  const Listener* listener = m_routing_table.FindListener(packet.key.listener);
-  const bool may_resend =
-      packet.is_syn && listener != nullptr && flow->previous_upstream_id == 0;
-  if (!may_resend) {
-    return decision;
-  }
-  const PlacementRequest request{
-      listener, ChooseService(packet, *listener), {flow->upstream_id}, now};
-  Upstream* other =
-      request.service == nullptr ? nullptr : m_placement->Choose(request);
-  if (other == nullptr) {
-    return decision;
-  }
-  flow->previous_upstream_id = flow->upstream_id;
-  flow->previous_sent = flow->awaiting_response_since;
-  AttachFlow(flow, other);
-  other->RecordPlacement(now);
-  AwaitResponse(flow, other,
-                m_response_timeouts.SynTimeout(other->record.failure_domain),
-                now);
-  decision.resend = Decision{Action::kForward, Reason::kPlacedAgain, other,
-                             MakeTag(packet.key.listener, other->tag_base)};
-  return decision;
-}
-
-bool Steering::StartCheck(Upstream* upstream, SteadyTime now) {
-  if (now < upstream->next_check) {
-    return false;
-  }
-  upstream->next_check = now + kCheckInterval;
-  upstream->check_started = now;
-  upstream->is_check_peer_initiated = false;
-  return true;
-}
-
-CheckResultDecision Steering::HandleCheckResult(uint64_t upstream_id,
-                                                CheckOutcome outcome,
-                                                SteadyTime now) {
-  Upstream* upstream = m_routing_table.FindUpstream(upstream_id);
-  if (upstream == nullptr) {
-    return {};
-  }
-  if (outcome == CheckOutcome::kConnected) {
-    upstream->liveness.RecordConnection(now);
-    return {};
-  }
-  if (outcome == CheckOutcome::kRefused &&
-      !DoesRefusalEndFlows(*upstream, now)) {
-    CheckResultDecision refused;
-    refused.should_notify_peers = !upstream->is_check_peer_initiated &&
-                                  upstream->liveness.AllowsAttempt(now);
-    upstream->liveness.RecordRefusal(now);
-    upstream->next_check = now + kRefusedCheckInterval;
-    return refused;
-  }
-  const bool has_responded_since =
-      upstream->liveness.last_response() >= upstream->check_started;
-  if (has_responded_since) {
-    upstream->next_check = now;
-    return {};
-  }
-  CheckResultDecision decision;
-  decision.should_notify_peers =
-      !upstream->is_check_peer_initiated &&
-      upstream->liveness.health(now) != Health::kPresumedDead;
-  upstream->liveness.RecordFailedCheck(now);
-  m_flows.ForEach([&](const FlowKey& key, FlowRecord* flow) {
-    if (flow->upstream_id != upstream_id || flow->is_closed) {
-      return;
-    }
-    FlowPacket packet;
-    packet.key = key;
-    packet.ack_number = flow->ack_number;
-    decision.flows_to_reset.push_back(packet);
-    DetachFlow(*flow);
-    *flow = FlowRecord{};
-    flow->last_packet = now;
-  });
-  // A flapping upstream has no flows when it recovers. As the least loaded one
-  // it would get all new flows, only to lose them again.
-  const auto lost = static_cast<uint32_t>(decision.flows_to_reset.size());
-  if (lost >= upstream->RemainingLostFlows(now)) {
-    upstream->lost_flows = lost;
-    upstream->lost_at = now;
-  }
-  return decision;
-}
-
-const Upstream* Steering::HandleFailureReport(uint64_t upstream_id,
-                                              SteadyTime now) {
-  Upstream* upstream = m_routing_table.FindUpstream(upstream_id);
-  if (upstream == nullptr || !StartCheck(upstream, now)) {
-    return nullptr;
-  }
-  upstream->is_check_peer_initiated = true;
-  upstream->liveness.RecordPeerReport(now);
-  return upstream->open_flows > 0 ? upstream : nullptr;
-}
-
-std::vector<const Upstream*> Steering::StartDueChecks(SteadyTime now) {
-  std::vector<const Upstream*> due;
-  for (const auto& [id, upstream] : m_routing_table.upstreams()) {
-    const bool needs_check =
-        upstream->open_flows > 0 &&
-        (upstream->is_unregistered ||
-         upstream->liveness.health(now) != Health::kHealthy ||
-         (upstream->liveness.is_refusing() &&
-          upstream->liveness.has_timeouts()));
-    if (needs_check && StartCheck(upstream.get(), now)) {
-      due.push_back(upstream.get());
-    }
-  }
-  return due;
-}
-
-bool Steering::DoesRefusalEndFlows(const Upstream& upstream,
-                                   SteadyTime now) const {
-  const bool may_be_stopping =
-      upstream.is_unregistered || !m_are_registrations_current ||
-      upstream.record.phase == cluster_state::UpstreamPhase::kDraining;
-  if (may_be_stopping) {
-    // Its flows get responses or end by themselves, unless a client that got
-    // neither sends again.
-    return upstream.liveness.has_timeouts();
-  }
-  // At its limit of connections it would go on responding.
-  const auto silence = now - upstream.liveness.last_response();
-  return upstream.flows_awaiting_response > 0 &&
-         silence >= m_response_timeouts.RequestTimeout(upstream.record.service);
-}
-
-bool Steering::IsPresumedDead(const Upstream& upstream, SteadyTime now) const {
-  const Liveness& liveness = upstream.liveness;
-  const Health health = liveness.health(now);
-  if (health == Health::kSuspect) {
-    return upstream.is_unregistered;
-  }
-  // Timeouts alone prove nothing while no other upstream responds in time
-  // either: this host's own link or CPU may be overloaded.
-  const bool is_confirmed = liveness.HasRecentFailedCheck(now) ||
-                            m_last_timely_response >= liveness.first_timeout();
-  return health == Health::kPresumedDead && is_confirmed;
-}
-
-const Upstream* Steering::FindReferenceUpstream(const Upstream& checked) const {
-  const Upstream* reference = nullptr;
-  for (const auto& [id, upstream] : m_routing_table.upstreams()) {
-    const bool is_candidate = id != checked.record.id &&
-                              !upstream->is_unregistered &&
-                              upstream->liveness.last_response() > SteadyTime();
-    const bool is_better =
-        is_candidate &&
-        (reference == nullptr || upstream->liveness.last_response() >
-                                     reference->liveness.last_response());
-    reference = is_better ? upstream.get() : reference;
-  }
-  return reference;
-}
-
-milliseconds Steering::ConnectTimeout(const Upstream& checked,
-                                      const Upstream* reference) const {
-  const milliseconds timeout =
-      m_response_timeouts.ConnectTimeout(checked.record.failure_domain);
-  return reference == nullptr
-             ? timeout
-             : std::max(timeout, m_response_timeouts.ConnectTimeout(
-                                     reference->record.failure_domain));
-}
-
 void Steering::SetAwaitingResponse(FlowRecord* flow,
                                    Upstream* upstream,
                                    bool is_awaiting_response) {
@@ -523,7 +260,10 @@
 
 void Steering::EvictIdleFlows(SteadyTime now) {
   m_flows.EvictIdle(now - m_flow_idle_timeout, now - kClosedFlowRetention,
-                    [this](const FlowRecord& flow) { DetachFlow(flow); });
+                    [this](FlowRecord* flow) {
+                      ReleasePlace(flow, scheduling::Outcome::kAbandoned);
+                      DetachFlow(*flow);
+                    });
 }
 
 }  // namespace poplarsail::flows
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -11,6 +11,7 @@
 
 #include "cluster_state/cluster_state.h"
 #include "flows/flow_packet.h"
+#include "flows/flow_scheduler.h"
 #include "flows/flow_table.h"
 #include "flows/placement.h"
 #include "flows/response_timeouts.h"
@@ -41,6 +42,8 @@
   kDrop,
   // Keep the packet and decide again once the cluster state is complete.
   kHold,
+  // Keep the packet until the scheduler answers the request with `token`.
+  kAwaitPlacement,
 };
 
 enum class Reason : uint8_t {
@@ -54,8 +57,14 @@
   kUnknownTag,
   kNoTag,
   kStateIncomplete,
+  // The scheduler placed the flow, or was asked to.
+  kScheduled,
+  // Retransmission of a SYN that waits for the scheduler.
+  kHeld,
+  // The scheduler refused the flow.
+  kNoRoom,
 };
-inline constexpr size_t kReasonCount = 10;
+inline constexpr size_t kReasonCount = 13;
 
 std::string_view ToString(Reason reason);
 
@@ -66,6 +75,8 @@
   uint32_t tag = 0;
   // When the response to the packet is overdue, or nullopt if none is expected.
   std::optional<SteadyTime> response_deadline;
+  // Set for kAwaitPlacement.
+  uint32_t token = 0;
 };
 
 // What to do about a packet without a timely response.
@@ -103,6 +114,24 @@
 
   Decision Decide(const FlowPacket& packet, SteadyTime now);
 
+  // Places the flows of some services, or nullptr. Outlives this object.
+  void set_scheduler(FlowScheduler* scheduler) { m_scheduler = scheduler; }
+
+  // Execute the scheduler's answer for the SYN that Decide kept. The decision
+  // is kDrop if the SYN is no longer kept or, for a placement, if the upstream
+  // is unknown or may not take new flows.
+  Decision PlaceHeldFlow(const FlowPacket& syn,
+                         uint32_t token,
+                         uint64_t upstream_id,
+                         SteadyTime now);
+  Decision PlaceHeldFlowLocally(const FlowPacket& syn,
+                                uint32_t token,
+                                SteadyTime now);
+  Decision RefuseHeldFlow(const FlowPacket& syn,
+                          uint32_t token,
+                          Reason reason,
+                          SteadyTime now);
+
   // Call when the response to `packet` is overdue.
   ResponseTimeoutDecision DecideOnTimeout(const FlowPacket& packet,
                                           SteadyTime now);
@@ -158,6 +187,31 @@
   Decision DecideSyn(const FlowPacket& packet,
                      const Listener& listener,
                      SteadyTime now);
+  // Asks the scheduler to place the flow.
+  Decision RequestPlacement(const FlowPacket& packet,
+                            const Service& service,
+                            FlowRecord* flow,
+                            SteadyTime now);
+  // Starts the record of a flow whose SYN arrives.
+  void StartRecord(FlowRecord* flow);
+  Decision ForwardSyn(const FlowPacket& packet,
+                      FlowRecord* flow,
+                      Upstream* upstream,
+                      Reason reason,
+                      SteadyTime now);
+  // Returns the record if its SYN waits for the answer to `token`.
+  FlowRecord* FindHeldFlow(const FlowPacket& syn, uint32_t token);
+  bool IsScheduled(const std::string& service) const {
+    return m_scheduler != nullptr && m_scheduler->IsScheduled(service);
+  }
+  // Tells the scheduler that the flow no longer occupies its upstream.
+  void ReleasePlace(FlowRecord* flow,
+                    scheduling::Outcome outcome,
+                    SteadyTime::duration response_time = {});
+  // Tells the scheduler that a flow of a scheduled service was placed, with a
+  // new token unless it has one.
+  void ReportPlacement(FlowRecord* flow, const Upstream& upstream);
+  void CountRequest(const FlowKey& key, FlowRecord* flow);
   Decision DecideTagged(const FlowPacket& packet, SteadyTime now);
   Decision DecideUntagged(const FlowPacket& packet, SteadyTime now);
   const Service* ChooseService(const FlowPacket& packet,
@@ -178,9 +232,7 @@
                      milliseconds timeout,
                      SteadyTime now);
   void RecordFlowTimeout(FlowRecord* flow, SteadyTime now);
-  void RecordFlowResponse(const FlowRecord& flow,
-                          Upstream* upstream,
-                          SteadyTime now);
+  void RecordFlowResponse(FlowRecord* flow, Upstream* upstream, SteadyTime now);
   // Whether a refused connection shows that the flows of the upstream have
   // ended.
   bool DoesRefusalEndFlows(const Upstream& upstream, SteadyTime now) const;
@@ -193,6 +245,7 @@
   void AttachFlow(FlowRecord* flow, Upstream* upstream);
 
   std::unique_ptr<Placement> m_placement;
+  FlowScheduler* m_scheduler = nullptr;
   RoutingTable m_routing_table;
   FlowTable m_flows;
   ResponseTimeouts m_response_timeouts;
