One UDP socket between entry hosts, shared by message versions

Cause: flow scheduling exchanges messages with the same hosts and on the same port as failure reports, whose channel owned the socket. Change: PeerSocket reads a batch per wake-up and dispatches by the message's version; FailureReportChannel registers for version 1. Its messages keep their bytes. Datagrams of unknown versions are counted.

--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -19,6 +19,7 @@
 #include "entry/metrics.h"
 #include "entry/packet_loop.h"
 #include "entry/peer_exchange.h"
+#include "entry/peer_socket.h"
 #include "entry/retry_gate.h"
 #include "entry/store_watcher.h"
 #include "flows/flows.h"
@@ -56,8 +57,9 @@
         readiness(context, settings.readiness),
         metrics(context, {settings.packets.address, settings.metrics_port}),
         retry_gate(context),
-        failure_reports(context,
-                        {settings.peers.address, settings.failure_report_port},
+        peer_socket(context,
+                    {settings.peers.address, settings.failure_report_port}),
+        failure_reports(&peer_socket,
                         [this](uint64_t upstream_id) {
                           packets.OnFailureReport(upstream_id);
                         }),
@@ -77,6 +79,7 @@
   RetryGate retry_gate;
   // Shared by all store watchers.
   VersionFloor version_floor;
+  PeerSocket peer_socket;
   FailureReportChannel failure_reports;
   std::vector<std::unique_ptr<StoreWatcher>> store_watchers;
   std::unique_ptr<PeerExchange> peer_exchange;
@@ -150,7 +153,7 @@
   m_components->packets.set_on_upstream_failure([this](uint64_t upstream_id) {
     m_components->failure_reports.Broadcast(upstream_id);
   });
-  m_components->failure_reports.Start();
+  m_components->peer_socket.Start();
   m_components->peer_exchange = std::make_unique<PeerExchange>(
       m_context, &m_components->cluster_state, std::move(options));
   m_components->peer_exchange->Start();
--- a/src/libs/entry/failure_report_channel.cc
+++ b/src/libs/entry/failure_report_channel.cc
@@ -8,25 +8,27 @@
 
 namespace {
 
-using boost::asio::ip::udp;
 using nlohmann::json;
 
-// Message version; messages of other versions are ignored.
-constexpr int kReportVersion = 1;
+// Message version.
+constexpr uint8_t kReportVersion = 1;
 constexpr size_t kDatagramHeaderBytes = 28;
 
-udp::endpoint ToUdpEndpoint(const model::Endpoint& endpoint) {
-  return {endpoint.address, endpoint.port};
-}
-
 }  // namespace
 
-FailureReportChannel::FailureReportChannel(boost::asio::io_context* context,
-                                           const model::Endpoint& endpoint,
+FailureReportChannel::FailureReportChannel(PeerSocket* socket,
                                            Callback callback)
-    : m_socket(*context, ToUdpEndpoint(endpoint)),
-      m_own_endpoint(ToUdpEndpoint(endpoint)),
-      m_callback(std::move(callback)) {}
+    : m_socket(socket), m_callback(std::move(callback)) {
+  m_socket->SetHandler(
+      kReportVersion,
+      [this](const model::Ipv4Endpoint&, std::span<const uint8_t> datagram) {
+        HandleDatagram(datagram);
+      });
+}
+
+FailureReportChannel::~FailureReportChannel() {
+  m_socket->SetHandler(kReportVersion, nullptr);
+}
 
 void FailureReportChannel::set_local_peers(
     std::vector<model::Ipv4Endpoint> local_peers) {
@@ -51,37 +53,20 @@
       json::array({kReportVersion, upstream_id, should_relay}));
   const auto now = std::chrono::steady_clock::now();
   for (const model::Ipv4Endpoint& peer : targets) {
-    const udp::endpoint target = ToUdpEndpoint(model::ToEndpoint(peer));
-    if (target == m_own_endpoint) {
+    if (peer == m_socket->own_endpoint()) {
       continue;
     }
     if (!m_rate_limiter.TryConsume(message.size() + kDatagramHeaderBytes,
                                    now)) {
       return;
     }
-    boost::system::error_code ignored;
-    m_socket.send_to(boost::asio::buffer(message), target, 0, ignored);
+    m_socket->Send(peer, message);
   }
 }
 
-void FailureReportChannel::ReceiveNext() {
-  m_socket.async_receive_from(
-      boost::asio::buffer(m_buffer), m_sender,
-      [this](const boost::system::error_code& error, size_t size) {
-        if (error == boost::asio::error::operation_aborted) {
-          return;
-        }
-        if (!error) {
-          HandleDatagram(size);
-        }
-        ReceiveNext();
-      });
-}
-
-void FailureReportChannel::HandleDatagram(size_t size) {
-  const json message = json::from_msgpack(
-      m_buffer.begin(), m_buffer.begin() + static_cast<ptrdiff_t>(size), true,
-      false);
+void FailureReportChannel::HandleDatagram(std::span<const uint8_t> datagram) {
+  const json message =
+      json::from_msgpack(datagram.begin(), datagram.end(), true, false);
   const bool is_usable = message.is_array() && message.size() >= 2 &&
                          message[0] == kReportVersion &&
                          message[1].is_number_unsigned();
--- a/src/libs/entry/failure_report_channel.h
+++ b/src/libs/entry/failure_report_channel.h
@@ -1,13 +1,12 @@
 #ifndef ENTRY_FAILURE_REPORT_CHANNEL_H_
 #define ENTRY_FAILURE_REPORT_CHANNEL_H_
 
-#include <array>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <vector>
 
+#include "entry/peer_socket.h"
 #include "entry/send_rate_limiter.h"
 #include "model/model.h"
 
@@ -26,12 +25,13 @@
  public:
   using Callback = std::function<void(uint64_t upstream_id)>;
 
-  // Throws boost::system::system_error if the address can't be bound.
-  FailureReportChannel(boost::asio::io_context* context,
-                       const model::Endpoint& endpoint,
-                       Callback callback);
+  // `socket` outlives this object.
+  FailureReportChannel(PeerSocket* socket, Callback callback);
+  ~FailureReportChannel();
+
+  FailureReportChannel(const FailureReportChannel&) = delete;
+  FailureReportChannel& operator=(const FailureReportChannel&) = delete;
 
-  void Start() { ReceiveNext(); }
   // Reports that the upstream does not respond.
   void Broadcast(uint64_t upstream_id);
   // Hosts of the same failure domain.
@@ -40,16 +40,12 @@
   void set_remote_peers(std::vector<model::Ipv4Endpoint> remote_peers);
 
  private:
-  void ReceiveNext();
-  void HandleDatagram(size_t size);
+  void HandleDatagram(std::span<const uint8_t> datagram);
   void SendTo(uint64_t upstream_id,
               bool should_relay,
               const std::vector<model::Ipv4Endpoint>& targets);
 
-  boost::asio::ip::udp::socket m_socket;
-  boost::asio::ip::udp::endpoint m_own_endpoint;
-  boost::asio::ip::udp::endpoint m_sender;
-  std::array<uint8_t, 64> m_buffer{};
+  PeerSocket* m_socket;
   std::vector<model::Ipv4Endpoint> m_local_peers;
   std::vector<model::Ipv4Endpoint> m_remote_peers;
   SendRateLimiter m_rate_limiter{kReportBytesPerSecond};
--- a/src/libs/entry/peer_socket.h
+++ b/src/libs/entry/peer_socket.h
@@ -33,12 +33,15 @@
             std::span<const uint8_t> datagram);
 
   const model::Ipv4Endpoint& own_endpoint() const { return m_own_endpoint; }
-  // Datagrams of unknown versions.
+  // Datagrams of unknown versions, or without one.
   uint64_t unknown_messages() const { return m_unknown_messages; }
   uint64_t unsent_messages() const { return m_unsent_messages; }
 
  private:
   void WaitForDatagrams();
+  void ReceiveBatch();
+  void Dispatch(const model::Ipv4Endpoint& sender,
+                std::span<const uint8_t> datagram);
 
   model::Ipv4Endpoint m_own_endpoint;
   transport::UdpSocket m_socket;
--- a/tests/auto/entry/tst_failure_report_channel.cc
+++ b/tests/auto/entry/tst_failure_report_channel.cc
@@ -2,6 +2,7 @@
 
 #include "entry/failure_report_channel.h"
 
+#include <boost/asio/ip/udp.hpp>
 #include <memory>
 #include <vector>
 
@@ -20,14 +21,14 @@
 struct Host {
   explicit Host(boost::asio::io_context* context)
       : endpoint(FreeEndpoint(context)),
-        channel(context, model::ToEndpoint(endpoint), [this](uint64_t id) {
-          received.push_back(id);
-        }) {
-    channel.Start();
+        socket(context, model::ToEndpoint(endpoint)),
+        channel(&socket, [this](uint64_t id) { received.push_back(id); }) {
+    socket.Start();
   }
 
   model::Ipv4Endpoint endpoint;
   std::vector<uint64_t> received;
+  PeerSocket socket;
   FailureReportChannel channel;
 };
 
@@ -71,5 +72,38 @@
   CHECK(peer.received.size() < 100'000);
 }
 
+// Hosts of earlier releases exchange reports with this one during an upgrade.
+TEST_CASE("Failure reports keep their bytes") {
+  boost::asio::io_context context;
+  Host host(&context);
+  udp::socket earlier(context, {boost::asio::ip::address_v4::loopback(), 0});
+  host.channel.set_local_peers(
+      {{earlier.local_endpoint().address().to_v4().to_uint(),
+        earlier.local_endpoint().port()}});
+  host.channel.Broadcast(7);
+  std::array<uint8_t, 64> buffer{};
+  const size_t size = earlier.receive(boost::asio::buffer(buffer));
+  const std::vector<uint8_t> message(buffer.begin(), buffer.begin() + size);
+  CHECK(message == std::vector<uint8_t>{0x93, 1, 7, 0xc2});
+}
+
+// A message that no handler knows must not stop the ones after it.
+TEST_CASE("Messages of unknown versions are dropped and counted") {
+  boost::asio::io_context context;
+  Host host(&context);
+  PeerSocket sender(&context, {boost::asio::ip::address_v4::loopback(), 0});
+  const std::vector<std::vector<uint8_t>> unknown = {
+      {0x93, 3, 7, 0xc2}, {0x90}, {0x93}, {0x93, 0xcc, 1, 7}, {0xdc, 0}, {1}};
+  for (const std::vector<uint8_t>& datagram : unknown) {
+    sender.Send(host.endpoint, datagram);
+  }
+  sender.Send(host.endpoint, std::vector<uint8_t>{0x93, 1, 8, 0xc2});
+  while (host.received.empty()) {
+    REQUIRE(context.run_one() > 0);
+  }
+  CHECK(host.received == std::vector<uint64_t>{8});
+  CHECK(host.socket.unknown_messages() == unknown.size());
+}
+
 }  // namespace
 }  // namespace poplarsail::entry
