Settings of capacity and scheduling mode, capacities in the peer exchange

Cause: hosts rank schedulers by the processor capacity of the candidates. Change: host.cpu_share (decimal, 0 is unknown) and scheduling.mode (auto or off) are checked with file, key and reason. A host states its capacity in its queries (cpu, thousandths of a core); the fleet view lists those of the local peers in the same order. The field is optional: earlier releases neither send nor read it.

--- a/src/libs/entry/cluster_state_codec.cc
+++ b/src/libs/entry/cluster_state_codec.cc
@@ -273,6 +273,22 @@
   return revisions;
 }
 
+// Returns the capacities of `count` local peers, or none if the message lacks
+// them.
+std::vector<uint32_t> DecodeCapacities(const json& message, size_t count) {
+  const json listed = message.value("capacities", json::array());
+  if (listed.size() != count) {
+    return {};
+  }
+  std::vector<uint32_t> capacities;
+  for (const json& item : listed) {
+    const bool is_valid =
+        item.is_number_unsigned() && item.get<uint64_t>() <= kMaxCpuThousandths;
+    capacities.push_back(is_valid ? item.get<uint32_t>() : 0);
+  }
+  return capacities;
+}
+
 }  // namespace
 
 KnownVersions KnownVersionsOf(const ClusterState& cluster_state) {
@@ -323,6 +339,9 @@
       {"version", kStateMessageVersion},       {"contacts", remote_peers},
       {"host_count", fleet.host_count},        {"neighbours", local_peers},
       {"revisions", RevisionsOf(fleet.known)}, {"known", ToText(fleet.known)}};
+  if (!fleet.local_capacities.empty()) {
+    message["capacities"] = fleet.local_capacities;
+  }
   if (cluster_state != nullptr) {
     message["configuration"] = EncodeKind<cluster_state::Configuration>(
         *cluster_state, ObjectKind::kConfiguration, known, now);
@@ -363,6 +382,7 @@
     for (const json& peer : parsed.value("contacts", json::array())) {
       fleet.remote_peers.push_back(DecodeEndpoint(peer));
     }
+    fleet.local_capacities = DecodeCapacities(parsed, fleet.local_peers.size());
     fleet.known = parsed.contains("known")
                       ? ParseKnownVersions(parsed.at("known"))
                       : KnownVersionsOf(
--- a/src/libs/entry/cluster_state_codec.h
+++ b/src/libs/entry/cluster_state_codec.h
@@ -18,6 +18,9 @@
 // Twice the 4 MB of a message with 25,000 upstreams and 6,800 listeners.
 inline constexpr size_t kMaxStateMessageBytes = 8 << 20;
 
+// Capacities above this are treated as unknown.
+inline constexpr uint32_t kMaxCpuThousandths = 1'024'000;
+
 // A message from another entry host is malformed, too large or of another
 // version.
 class StateMessageError : public std::runtime_error {
@@ -61,6 +64,9 @@
   std::vector<model::Ipv4Endpoint> remote_peers;
   // Versions that the responding host knows.
   KnownVersions known;
+  // Processor capacities of the local peers, in their order, in thousandths of
+  // a core, 0 if unknown; empty if an earlier release does not state them.
+  std::vector<uint32_t> local_capacities;
 
   friend bool operator==(const FleetView&, const FleetView&) = default;
 };
--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -142,6 +142,7 @@
   options.failure_domain = m_settings.failure_domain;
   options.report_endpoint = {m_settings.peers.address,
                              m_settings.failure_report_port};
+  options.cpu_thousandths = m_settings.cpu_thousandths;
   options.seeds = m_settings.seeds;
   options.is_store_unreachable = [this]() { return IsStoreUnreachable(); };
   options.on_change = [this]() { OnClusterStateChange(); };
--- a/src/libs/entry/entry_settings.cc
+++ b/src/libs/entry/entry_settings.cc
@@ -1,5 +1,6 @@
 #include "entry/entry_settings.h"
 
+#include <cmath>
 #include <sstream>
 
 #include <fmt/format.h>
@@ -25,6 +26,15 @@
   return seeds;
 }
 
+bool ParseSchedulingMode(const std::string& text, const std::string& source) {
+  if (text != "auto" && text != "off") {
+    throw model::ValidationError(
+        source, "scheduling.mode",
+        fmt::format("\"{}\" is neither \"auto\" nor \"off\"", text));
+  }
+  return text == "auto";
+}
+
 }  // namespace
 
 const std::vector<model::SettingKey>& EntrySettingKeys() {
@@ -34,6 +44,9 @@
        "Name of this entry host, unique in the fleet."},
       {"host", "failure_domain", Type::kString, "", 0, 0,
        "Name of the failure domain that this host belongs to."},
+      {"host", "cpu_share", Type::kDecimal, "0", 0, 1'024,
+       "Number of processor cores that this host may use, such as 0.5; hosts "
+       "with more of them schedule flows first. 0 if unknown."},
       {"packets", "endpoint", Type::kEndpoint, "", 0, 0,
        "UDP address and port for packets from clients."},
       {"readiness", "endpoint", Type::kEndpoint, "", 0, 0,
@@ -59,6 +72,10 @@
       {"store", "evacuation_ms", Type::kNumber, "5000", 1'000, 3'600'000,
        "Milliseconds after which an evacuated failure domain must get no new "
        "flows."},
+      {"scheduling", "mode", Type::kString, "auto", 0, 0,
+       "\"auto\" schedules flows together with the other entry hosts of the "
+       "failure domain, for services whose terms are known; with \"off\" this "
+       "host places its flows alone."},
       {"metrics", "port", Type::kNumber, "9100", 1, 65'535,
        "TCP port of /metrics, on the address of packets.endpoint."},
       {"stop", "linger_ms", Type::kNumber, "2500", 0, 3'600'000,
@@ -82,6 +99,8 @@
   EntrySettings settings;
   settings.host_name = values.at("host.name");
   settings.failure_domain = values.at("host.failure_domain");
+  settings.cpu_thousandths = static_cast<uint32_t>(
+      std::lround(model::DecimalSetting(values, "host.cpu_share") * 1'000));
   settings.packets = endpoint("packets.endpoint");
   settings.client_port = settings.packets.port;
   settings.readiness = endpoint("readiness.endpoint");
@@ -96,6 +115,8 @@
                      milliseconds(number("store.configuration_ms")),
                      milliseconds(number("store.drain_ms")),
                      milliseconds(number("store.evacuation_ms"))};
+  settings.is_scheduling_enabled =
+      ParseSchedulingMode(values.at("scheduling.mode"), source);
   settings.metrics_port = static_cast<uint16_t>(number("metrics.port"));
   settings.linger = std::chrono::milliseconds(number("stop.linger_ms"));
   return settings;
--- a/src/libs/entry/entry_settings.h
+++ b/src/libs/entry/entry_settings.h
@@ -15,6 +15,8 @@
 struct EntrySettings {
   std::string host_name;
   std::string failure_domain;
+  // Processor capacity in thousandths of a core; 0 if unknown.
+  uint32_t cpu_thousandths = 0;
   // Receives the packets of clients and sends packets to upstreams.
   model::Endpoint packets;
   // Port at which clients receive packets.
@@ -30,6 +32,8 @@
   std::vector<model::Endpoint> seeds;
   model::Endpoint store;
   CurrencyBounds bounds;
+  // Whether flows are scheduled together with the other entry hosts.
+  bool is_scheduling_enabled = true;
   uint16_t metrics_port = 0;
   // Time for which packets are still forwarded after SIGTERM.
   std::chrono::milliseconds linger{0};
--- a/src/libs/entry/peer_exchange.cc
+++ b/src/libs/entry/peer_exchange.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <map>
 #include <utility>
 
@@ -25,6 +26,16 @@
 
 constexpr const char* kClusterStatePath = "/belief";
 
+// Returns 0 if the capacity is not stated or is invalid.
+uint32_t ParseCapacity(const std::string& text) {
+  uint32_t value = 0;
+  const char* text_end = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), text_end, value);
+  const bool is_valid =
+      error == std::errc() && end == text_end && value <= kMaxCpuThousandths;
+  return is_valid ? value : 0;
+}
+
 }  // namespace
 
 PeerExchange::PeerExchange(asio::io_context* context,
@@ -125,12 +136,12 @@
 }
 
 std::string PeerExchange::MakeQueryTarget(bool is_brief) const {
-  return fmt::format("{}?known={}&from={}&findings={}&domain={}&brief={:d}",
-                     kClusterStatePath,
-                     ToText(KnownVersionsOf(*m_cluster_state)),
-                     model::ToString(m_options.own_endpoint),
-                     model::ToString(m_options.report_endpoint),
-                     m_options.failure_domain, is_brief);
+  return fmt::format(
+      "{}?known={}&from={}&findings={}&domain={}&brief={:d}&cpu={}",
+      kClusterStatePath, ToText(KnownVersionsOf(*m_cluster_state)),
+      model::ToString(m_options.own_endpoint),
+      model::ToString(m_options.report_endpoint), m_options.failure_domain,
+      is_brief, m_options.cpu_thousandths);
 }
 
 asio::awaitable<std::optional<std::string>> PeerExchange::Get(
@@ -253,7 +264,8 @@
   std::erase_if(m_known_peers, [&](const KnownPeer& peer) {
     return peer.endpoint == *endpoint || peer.last_query < oldest;
   });
-  m_known_peers.push_back({*endpoint, *report_endpoint, value("domain"), now});
+  m_known_peers.push_back({*endpoint, *report_endpoint, value("domain"), now,
+                           ParseCapacity(value("cpu"))});
   if (m_known_peers.size() > kMaxKnownPeers) {
     m_known_peers.pop_front();
   }
@@ -276,6 +288,7 @@
     if (peer->failure_domain == failure_domain) {
       if (fleet.local_peers.size() < kMaxLocalPeers) {
         fleet.local_peers.push_back(peer->report_endpoint);
+        fleet.local_capacities.push_back(peer->cpu_thousandths);
       }
     } else if (remote_peer_counts[peer->failure_domain]++ <
                kRemotePeersPerDomain) {
@@ -286,6 +299,7 @@
       model::ParseIpv4Endpoint(model::ToString(m_options.report_endpoint));
   if (own && m_options.failure_domain == failure_domain) {
     fleet.local_peers.push_back(*own);
+    fleet.local_capacities.push_back(m_options.cpu_thousandths);
   } else if (own && remote_peer_counts[m_options.failure_domain] <
                         kRemotePeersPerDomain) {
     fleet.remote_peers.push_back(*own);
--- a/src/libs/entry/peer_exchange.h
+++ b/src/libs/entry/peer_exchange.h
@@ -80,6 +80,8 @@
     std::string failure_domain;
     // Receives the failure reports of other hosts.
     model::Endpoint report_endpoint;
+    // Processor capacity of this host; 0 if unknown.
+    uint32_t cpu_thousandths = 0;
     std::vector<model::Endpoint> seeds;
     // Returns whether this host can't reach the store.
     std::function<bool()> is_store_unreachable;
@@ -119,6 +121,7 @@
     model::Ipv4Endpoint report_endpoint;
     std::string failure_domain;
     cluster_state::SteadyTime last_query;
+    uint32_t cpu_thousandths = 0;
   };
 
   HttpResponse HandleQuery(const HttpQuery& query);
--- a/src/libs/model/settings.cc
+++ b/src/libs/model/settings.cc
@@ -37,6 +37,25 @@
   return number;
 }
 
+void CheckDecimal(const SettingKey& key,
+                  const std::string& text,
+                  const std::string& source) {
+  const auto min_value = static_cast<double>(key.min_value);
+  const auto max_value = static_cast<double>(key.max_value);
+  const char* text_end = text.data() + text.size();
+  double number = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text_end, number, std::chars_format::fixed);
+  // "nan" is a number to from_chars and compares false.
+  const bool is_in_range = number >= min_value && number <= max_value;
+  if (error != std::errc() || end != text_end || !is_in_range) {
+    throw ValidationError(
+        source, FullName(key),
+        fmt::format("\"{}\" is not a decimal number from {} to {}", text,
+                    key.min_value, key.max_value));
+  }
+}
+
 void CheckValue(const SettingKey& key,
                 const std::string& text,
                 const std::string& source) {
@@ -46,6 +65,9 @@
     case SettingType::kNumber:
       CheckNumber(key, text, source);
       return;
+    case SettingType::kDecimal:
+      CheckDecimal(key, text, source);
+      return;
     case SettingType::kAddress: {
       boost::system::error_code error;
       boost::asio::ip::make_address(text, error);
@@ -163,6 +185,14 @@
   return std::stoll(values.at(name));
 }
 
+double DecimalSetting(const SettingValues& values, const std::string& name) {
+  const std::string& text = values.at(name);
+  double number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number,
+                  std::chars_format::fixed);
+  return number;
+}
+
 Endpoint EndpointSetting(const SettingValues& values, const std::string& name) {
   return *ParseEndpoint(values.at(name));
 }
--- a/src/libs/model/settings.h
+++ b/src/libs/model/settings.h
@@ -10,7 +10,13 @@
 
 namespace poplarsail::model {
 
-enum class SettingType : uint8_t { kString, kNumber, kAddress, kEndpoint };
+enum class SettingType : uint8_t {
+  kString,
+  kNumber,
+  kDecimal,
+  kAddress,
+  kEndpoint
+};
 
 // A key of the settings file. Settings files are validated against the table of
 // these, and a test compares docs/settings.md with it.
@@ -38,6 +44,7 @@
 
 // Return the value of a key that the table declares with this type.
 int64_t NumberSetting(const SettingValues& values, const std::string& name);
+double DecimalSetting(const SettingValues& values, const std::string& name);
 Endpoint EndpointSetting(const SettingValues& values, const std::string& name);
 
 // Returns the contents of the file. Throws ValidationError if it can't be read.
--- a/tests/auto/entry/tst_cluster_state_codec.cc
+++ b/tests/auto/entry/tst_cluster_state_codec.cc
@@ -171,6 +171,31 @@
   CHECK(receiver.generation() == 0);
 }
 
+// Earlier releases neither send capacities nor know the field.
+TEST_CASE("Capacities accompany the local peers if they are stated") {
+  FleetView fleet{9, {{0x0a000001, 7720}, {0x0a000002, 7720}}};
+  fleet.local_capacities = {350, 0};
+  ClusterState receiver;
+  const std::string message = EncodeClusterState(nullptr, {}, fleet, kNow);
+  CHECK(MergeClusterState(message, &receiver, kNow) == fleet);
+  nlohmann::json parsed = nlohmann::json::from_msgpack(message);
+  std::vector<uint32_t> expected;
+  SECTION("missing") {
+    parsed.erase("capacities");
+  }
+  SECTION("another number than peers") {
+    parsed["capacities"] = {350};
+  }
+  SECTION("invalid values are unknown") {
+    parsed["capacities"] = {-1, 350};
+    expected = {0, 350};
+  }
+  std::string changed;
+  nlohmann::json::to_msgpack(parsed, changed);
+  fleet.local_capacities = expected;
+  CHECK(MergeClusterState(changed, &receiver, kNow) == fleet);
+}
+
 KnownVersions Known(uint64_t configuration,
                     uint64_t upstreams,
                     uint64_t evacuations,
--- a/tests/auto/entry/tst_entry_settings.cc
+++ b/tests/auto/entry/tst_entry_settings.cc
@@ -41,6 +41,8 @@
   CHECK(model::ToString(settings.seeds[1]) == "10.2.0.40:8166");
   CHECK(settings.metrics_port == 9100);
   CHECK(settings.linger == std::chrono::milliseconds(2'500));
+  CHECK(settings.cpu_thousandths == 0);
+  CHECK(settings.is_scheduling_enabled);
 }
 
 TEST_CASE("Seeds are optional") {
@@ -49,6 +51,16 @@
   CHECK(settings.seeds.empty());
 }
 
+TEST_CASE("Capacity and scheduling mode are parsed") {
+  const EntrySettings settings =
+      ParseEntrySettings(Replaced("[packets]",
+                                  "cpu_share = 0.35\n[scheduling]\nmode = off\n"
+                                  "[packets]"),
+                         "host.ini");
+  CHECK(settings.cpu_thousandths == 350);
+  CHECK_FALSE(settings.is_scheduling_enabled);
+}
+
 TEST_CASE("Invalid settings are rejected with file, key and reason") {
   struct BadInput {
     const char* from;
@@ -64,6 +76,11 @@
       BadInput{"[store]", "[metrics]\nport = 70000\n[store]", "metrics.port"},
       BadInput{"[store]", "[stop]\nlinger_ms = soon\n[store]",
                "stop.linger_ms"},
+      BadInput{"[packets]", "cpu_share = -1\n[packets]", "host.cpu_share"},
+      BadInput{"[packets]", "cpu_share = nan\n[packets]", "host.cpu_share"},
+      BadInput{"[packets]", "cpu_share = 2 cores\n[packets]", "host.cpu_share"},
+      BadInput{"[store]", "[scheduling]\nmode = on\n[store]",
+               "scheduling.mode"},
       BadInput{"[store]", "[stop]\nlinger = 5\n[store]", "stop.linger"});
   CAPTURE(input.key);
   try {
--- a/tests/auto/entry/tst_peer_exchange.cc
+++ b/tests/auto/entry/tst_peer_exchange.cc
@@ -48,10 +48,12 @@
   Host(boost::asio::io_context* context,
        uint16_t port,
        std::vector<model::Endpoint> seeds,
-       const std::string& failure_domain = "regina") {
+       const std::string& failure_domain = "regina",
+       uint32_t cpu_thousandths = 0) {
     PeerExchange::Options options;
     options.own_endpoint = Loopback(port);
     options.failure_domain = failure_domain;
+    options.cpu_thousandths = cpu_thousandths;
     options.report_endpoint = Loopback(static_cast<uint16_t>(port ^ 1));
     options.seeds = std::move(seeds);
     options.is_store_unreachable = [this]() { return is_store_unreachable; };
@@ -112,6 +114,20 @@
   CHECK(second.fleet.local_peers.size() == 3);
 }
 
+// All hosts must rank schedulers by the same capacities.
+TEST_CASE("A seed responds with the capacities of the local peers") {
+  boost::asio::io_context context;
+  const uint16_t seed_port = FreePort(&context);
+  Host seed(&context, seed_port, {}, "regina", 1'000);
+  Complete(&seed.cluster_state);
+  const uint16_t host_port = FreePort(&context);
+  Host host(&context, host_port, {Loopback(seed_port)}, "regina", 350);
+  RunUntil(&context, [&]() { return host.fleet.host_count == 2; });
+  REQUIRE(host.fleet.local_peers.size() == 2);
+  CHECK(host.fleet.local_peers[0].port == (host_port ^ 1));
+  CHECK(host.fleet.local_capacities == std::vector<uint32_t>{350, 1'000});
+}
+
 TEST_CASE("A seed responds with a few hosts of each other failure domain") {
   boost::asio::io_context context;
   const uint16_t seed_port = FreePort(&context);
