--- a/src/libs/scheduling/scheduler_directory.cc
+++ b/src/libs/scheduling/scheduler_directory.cc
@@ -23,6 +23,14 @@
                uint64_t{endpoint.address} << 16 | endpoint.port);
 }
 
+template <typename IsUsable>
+std::optional<Ipv4Endpoint> SelectFirst(const std::vector<Candidate>& ranked,
+                                        const IsUsable& is_usable) {
+  const auto found =
+      std::ranges::find_if(ranked, is_usable, &Candidate::endpoint);
+  return found == ranked.end() ? std::nullopt : std::optional(found->endpoint);
+}
+
 }  // namespace
 
 std::vector<Candidate> RankCandidates(std::vector<Candidate> candidates,
@@ -66,10 +74,10 @@
 
 void SchedulerDirectory::Rank(const std::string& name, Service& service) {
   std::vector<Candidate> all = m_candidates;
+  std::erase_if(all, [&](const Candidate& candidate) {
+    return service.heard.contains(candidate.endpoint);
+  });
   for (const auto& [endpoint, heard] : service.heard) {
-    std::erase_if(all, [&](const Candidate& candidate) {
-      return candidate.endpoint == endpoint;
-    });
     all.push_back({endpoint, heard.capacity_class});
   }
   service.ranked = RankCandidates(std::move(all), name);
@@ -119,31 +127,26 @@
            std::ranges::find(excluded, endpoint) == excluded.end();
   };
   const auto found = m_services.find(service);
-  std::vector<Candidate> unknown;
   if (found == m_services.end()) {
-    unknown = RankCandidates(m_candidates, service);
-  } else if (found->second.redirect && found->second.redirect_until >= now &&
-             is_usable(*found->second.redirect)) {
-    return found->second.redirect;
-  }
-  for (const Candidate& candidate :
-       found == m_services.end() ? unknown : found->second.ranked) {
-    if (!is_usable(candidate.endpoint)) {
-      continue;
-    }
-    if (found != m_services.end()) {
-      const auto heard = found->second.heard.find(candidate.endpoint);
-      const bool is_stale =
-          heard != found->second.heard.end() && heard->second.until < now;
-      if (is_stale &&
-          std::ranges::find(m_candidates, candidate.endpoint,
-                            &Candidate::endpoint) == m_candidates.end()) {
-        continue;
-      }
-    }
-    return candidate.endpoint;
+    return SelectFirst(RankCandidates(m_candidates, service), is_usable);
   }
-  return std::nullopt;
+  const Service& known = found->second;
+  if (known.redirect && known.redirect_until >= now &&
+      is_usable(*known.redirect)) {
+    return known.redirect;
+  }
+  return SelectFirst(known.ranked, [&](const Ipv4Endpoint& endpoint) {
+    return is_usable(endpoint) && !IsStale(known, endpoint, now);
+  });
+}
+
+bool SchedulerDirectory::IsStale(const Service& service,
+                                 const Ipv4Endpoint& scheduler,
+                                 SteadyTime now) const {
+  const auto heard = service.heard.find(scheduler);
+  return heard != service.heard.end() && heard->second.until < now &&
+         std::ranges::find(m_candidates, scheduler, &Candidate::endpoint) ==
+             m_candidates.end();
 }
 
 bool SchedulerDirectory::IsSkipped(const Ipv4Endpoint& scheduler,
--- a/src/libs/scheduling/scheduler_directory.h
+++ b/src/libs/scheduling/scheduler_directory.h
@@ -1,7 +1,6 @@
 #ifndef SCHEDULING_SCHEDULER_DIRECTORY_H_
 #define SCHEDULING_SCHEDULER_DIRECTORY_H_
 
-#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -62,6 +61,10 @@
 
   Service* FindService(const std::string& service);
   void Rank(const std::string& name, Service& service);
+  // Whether the scheduler is known only by announcements that are too old.
+  bool IsStale(const Service& service,
+               const Ipv4Endpoint& scheduler,
+               SteadyTime now) const;
   bool IsSkipped(const Ipv4Endpoint& scheduler, SteadyTime now) const;
 
   Candidate m_own;
