Schedule the flows of a service: places, waiting, refusal, spill

Hosts that place flows on their own overload some upstreams while others have room, and priorities are lost. One scheduler per service and domain keeps the outstanding flows and one fair queue, and refuses what cannot complete within its latency target.

Compiled; not tested yet.

--- /dev/null
+++ b/src/libs/scheduling/listener_table.h
@@ -0,0 +1,64 @@
+#ifndef SCHEDULING_LISTENER_TABLE_H_
+#define SCHEDULING_LISTENER_TABLE_H_
+
+#include <map>
+#include <vector>
+
+#include "load/load.h"
+#include "scheduling/message_codec.h"
+#include "scheduling/types.h"
+
+namespace poplarsail::scheduling {
+
+struct ListenerState {
+  explicit ListenerState(const ListenerTerms& listener_terms);
+
+  // Adds the work of a response that did not wait, unless it is so short that
+  // it was probably an error.
+  void AddSample(double work_ms, SteadyTime now);
+  // Work that a waiting request is planned with: high enough that most requests
+  // admitted to the queue complete in time.
+  double PlannedWorkMs() const;
+  SteadyTime Expiry(SteadyTime granted) const;
+
+  ListenerTerms terms;
+  load::WorkEstimator work;
+  // As of the last refresh.
+  load::WorkEstimate estimate;
+};
+
+// The listeners of a service with the work of their requests, and the demand by
+// priority.
+class ListenerTable {
+ public:
+  ListenerTable();
+
+  void Update(const std::vector<ListenerTerms>& terms, SteadyTime now);
+  void Refresh(SteadyTime now);
+  // A listener that is not configured here yet gets the lowest priority.
+  ListenerState& Find(const Ipv4Endpoint& endpoint);
+
+  // A request of this priority and work has arrived.
+  void RecordDemand(uint32_t priority, double work_ms, SteadyTime now);
+  // Milliseconds of work that arrive per millisecond for higher priorities.
+  double DemandAbove(uint32_t priority, SteadyTime now) const;
+
+  double MeanWorkMs() const;
+  std::vector<LearnedWork> Learned(SteadyTime now) const;
+  void Seed(const std::vector<LearnedWork>& work, SteadyTime now);
+
+ private:
+  // A sum of work that decays.
+  struct Demand {
+    double work_ms = 0;
+    SteadyTime updated;
+  };
+
+  std::map<Ipv4Endpoint, ListenerState> m_listeners;
+  ListenerState m_unknown;
+  std::map<uint32_t, Demand> m_demand;
+};
+
+}  // namespace poplarsail::scheduling
+
+#endif  // SCHEDULING_LISTENER_TABLE_H_
--- /dev/null
+++ b/src/libs/scheduling/pool_state.cc
@@ -0,0 +1,366 @@
+#include "scheduling/pool_state.h"
+
+#include <algorithm>
+
+namespace poplarsail::scheduling {
+namespace {
+
+using std::chrono::duration_cast;
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+// Predictions closer than this are equal: their error is larger.
+constexpr double kTieFactor = 1.15;
+// Cold upstreams are slower by a factor of 1.6 to 3.
+constexpr double kColdSpeedFactor = 0.45;
+// The rest of a cold upstream's rate is for hosts that place flows themselves.
+constexpr double kColdRateShare = 0.6;
+constexpr milliseconds kMinBackOff(250);
+constexpr milliseconds kMaxBackOff(2'000);
+
+double MsBetween(SteadyTime from, SteadyTime to) {
+  return Milliseconds(to - from).count();
+}
+
+SteadyTime After(SteadyTime time, double ms) {
+  return time + duration_cast<SteadyTime::duration>(Milliseconds(ms));
+}
+
+bool IsListed(std::span<const uint64_t> ids, uint64_t id) {
+  return std::ranges::find(ids, id) != ids.end();
+}
+
+}  // namespace
+
+std::vector<OutstandingFlow> PoolState::Update(const Pool& pool,
+                                               SteadyTime now) {
+  std::vector<Upstream> upstreams;
+  upstreams.reserve(pool.upstreams.size());
+  std::vector<RequestKey> ended;
+  std::unordered_map<uint64_t, size_t> index;
+  for (const PoolUpstream& record : pool.upstreams) {
+    Upstream* known = FindUpstream(record.id);
+    Upstream upstream;
+    const uint32_t slots = std::max(record.slots, 1U);
+    const bool is_restarted =
+        known && known->record.started_unix_ms != record.started_unix_ms;
+    if (known && !is_restarted) {
+      upstream = std::move(*known);
+      known->running.clear();
+      // A limit that was at its end stays there if the slots change.
+      if (upstream.limit > upstream.slots || upstream.limit > slots + 1)
+        upstream.limit = slots + 1;
+    } else {
+      const bool is_cold = record.cold_until > now;
+      upstream.limit = is_restarted || is_cold ? 1 : slots + 1;
+    }
+    upstream.record = record;
+    upstream.slots = slots;
+    index.emplace(record.id, upstreams.size());
+    upstreams.push_back(std::move(upstream));
+  }
+  for (const Upstream& left : m_upstreams) {
+    for (const Running& running : left.running)
+      ended.push_back(running.key);
+  }
+  m_upstreams = std::move(upstreams);
+  m_index = std::move(index);
+  m_scratch.resize(m_upstreams.size());
+  m_cold_flows_per_second = pool.cold_flows_per_second;
+  std::vector<OutstandingFlow> flows;
+  for (const RequestKey& key : ended) {
+    if (auto node = m_flows.extract(key))
+      flows.push_back(std::move(node.mapped()));
+  }
+  return flows;
+}
+
+bool PoolState::IsUsable(const Upstream& upstream, SteadyTime now) const {
+  if (!upstream.record.accepts_new_flows)
+    return false;
+  return !upstream.is_failed || (now >= upstream.out_until && !upstream.trial);
+}
+
+bool PoolState::HasFreeSlot(const Upstream& upstream, SteadyTime now) const {
+  if (!IsUsable(upstream, now))
+    return false;
+  // A trial is made also beside flows that hang there.
+  if (upstream.is_failed)
+    return true;
+  if (upstream.running.size() >= std::min(upstream.limit, upstream.slots))
+    return false;
+  return upstream.record.cold_until <= now || m_cold_flows_per_second <= 0 ||
+         upstream.next_cold_grant <= now;
+}
+
+bool PoolState::HasExtraPlace(const Upstream& upstream, SteadyTime now) const {
+  return IsUsable(upstream, now) && !upstream.is_failed &&
+         upstream.record.cold_until <= now &&
+         upstream.running.size() == upstream.slots &&
+         upstream.limit > upstream.slots;
+}
+
+double PoolState::EffectiveSpeed(const Upstream& upstream,
+                                 SteadyTime now) const {
+  return upstream.record.cold_until > now ? upstream.speed * kColdSpeedFactor
+                                          : upstream.speed;
+}
+
+bool PoolState::MustAvoid(const Upstream& upstream,
+                          std::span<const uint64_t> excluded) const {
+  return !excluded.empty() && IsListed(excluded, upstream.record.id);
+}
+
+bool PoolState::HasAlternative(std::span<const uint64_t> excluded,
+                               SteadyTime now) const {
+  return std::ranges::any_of(m_upstreams, [&](const Upstream& upstream) {
+    return IsUsable(upstream, now) && !IsListed(excluded, upstream.record.id);
+  });
+}
+
+std::optional<uint64_t> PoolState::ChooseAmong(const PlaceDemand& demand,
+                                               bool is_extra,
+                                               bool obey_exclusions,
+                                               SteadyTime now) {
+  constexpr double kNone = -1;
+  double best_ms = kNone;
+  for (size_t i = 0; i < m_upstreams.size(); ++i) {
+    const Upstream& upstream = m_upstreams[i];
+    m_scratch[i] = kNone;
+    if (is_extra ? !HasExtraPlace(upstream, now) : !HasFreeSlot(upstream, now))
+      continue;
+    if (obey_exclusions && MustAvoid(upstream, demand.excluded))
+      continue;
+    // The same as load::PredictCompletionMs for at most one waiting flow, from
+    // a cached end, without a copy of the outstanding flows.
+    const double wait_ms =
+        is_extra ? std::max(MsBetween(now, upstream.earliest_end), 0.0) : 0;
+    const double completion_ms =
+        wait_ms + demand.work_ms / EffectiveSpeed(upstream, now);
+    if (completion_ms > demand.limit_ms)
+      continue;
+    m_scratch[i] = completion_ms;
+    if (best_ms == kNone || completion_ms < best_ms)
+      best_ms = completion_ms;
+  }
+  if (best_ms == kNone)
+    return std::nullopt;
+  const auto is_tied = [&](double ms) {
+    return ms != kNone && ms <= best_ms * kTieFactor;
+  };
+  auto chosen = m_random() % std::ranges::count_if(m_scratch, is_tied);
+  for (size_t i = 0; i < m_upstreams.size(); ++i) {
+    if (is_tied(m_scratch[i]) && chosen-- == 0)
+      return m_upstreams[i].record.id;
+  }
+  return std::nullopt;
+}
+
+std::optional<uint64_t> PoolState::Choose(const PlaceDemand& demand,
+                                          SteadyTime now) {
+  const bool obey_exclusions =
+      !demand.excluded.empty() && HasAlternative(demand.excluded, now);
+  const auto slot = ChooseAmong(demand, false, obey_exclusions, now);
+  if (slot || !demand.allow_extra)
+    return slot;
+  return ChooseAmong(demand, true, obey_exclusions, now);
+}
+
+bool PoolState::HasPlace(SteadyTime now) const {
+  return std::ranges::any_of(m_upstreams, [&](const Upstream& upstream) {
+    return HasFreeSlot(upstream, now) || HasExtraPlace(upstream, now);
+  });
+}
+
+void PoolState::Add(OutstandingFlow flow, bool is_granted, SteadyTime now) {
+  Upstream* upstream = FindUpstream(flow.upstream_id);
+  if (!upstream)
+    return;
+  const bool has_slot = upstream->running.size() < upstream->slots;
+  flow.had_free_slot = is_granted && has_slot;
+  if (!is_granted && !has_slot) {
+    // Flows that were granted a free slot may have waited behind this one.
+    for (const Running& running : upstream->running)
+      m_flows[running.key].had_free_slot = false;
+  }
+  if (is_granted && upstream->is_failed)
+    upstream->trial = flow.key;
+  if (is_granted && upstream->record.cold_until > now &&
+      m_cold_flows_per_second > 0) {
+    const double rate =
+        m_cold_flows_per_second * kColdRateShare / m_domain_count;
+    upstream->next_cold_grant =
+        After(std::max(upstream->next_cold_grant, now), 1'000 / rate);
+  }
+  Running running{flow.key, flow.work_ms, has_slot, flow.granted, {}};
+  running.end =
+      After(running.started, flow.work_ms / EffectiveSpeed(*upstream, now));
+  upstream->running.push_back(running);
+  m_flows.insert_or_assign(flow.key, std::move(flow));
+  UpdateEarliestEnd(*upstream);
+}
+
+std::optional<OutstandingFlow> PoolState::Remove(const RequestKey& key,
+                                                 SteadyTime now) {
+  auto node = m_flows.extract(key);
+  if (!node)
+    return std::nullopt;
+  if (Upstream* upstream = FindUpstream(node.mapped().upstream_id)) {
+    std::erase_if(upstream->running,
+                  [&](const Running& running) { return running.key == key; });
+    if (upstream->trial == key)
+      upstream->trial.reset();
+    StartNext(*upstream, now);
+    UpdateEarliestEnd(*upstream);
+  }
+  return std::move(node.mapped());
+}
+
+void PoolState::StartNext(Upstream& upstream, SteadyTime now) {
+  size_t started_count = 0;
+  for (Running& running : upstream.running) {
+    if (started_count == upstream.slots)
+      return;
+    ++started_count;
+    if (running.is_started)
+      continue;
+    running.is_started = true;
+    running.started = now;
+    running.end = After(now, running.work_ms / EffectiveSpeed(upstream, now));
+  }
+}
+
+void PoolState::UpdateEarliestEnd(Upstream& upstream) {
+  upstream.earliest_end = SteadyTime::max();
+  for (const Running& running : upstream.running) {
+    if (running.is_started)
+      upstream.earliest_end = std::min(upstream.earliest_end, running.end);
+  }
+}
+
+const OutstandingFlow* PoolState::Find(const RequestKey& key) const {
+  const auto flow = m_flows.find(key);
+  return flow == m_flows.end() ? nullptr : &flow->second;
+}
+
+std::vector<RequestKey> PoolState::KeysOf(const Ipv4Endpoint& host) const {
+  std::vector<RequestKey> keys;
+  for (const auto& [key, flow] : m_flows) {
+    if (key.host == host)
+      keys.push_back(key);
+  }
+  return keys;
+}
+
+std::vector<RequestKey> PoolState::Expired(SteadyTime now) const {
+  std::vector<RequestKey> keys;
+  for (const auto& [key, flow] : m_flows) {
+    if (flow.expires <= now)
+      keys.push_back(key);
+  }
+  return keys;
+}
+
+void PoolState::RecordFailure(const OutstandingFlow& flow, SteadyTime now) {
+  Upstream* upstream = FindUpstream(flow.upstream_id);
+  if (!upstream)
+    return;
+  // Flows granted before the last failure tell nothing new.
+  if (upstream->is_failed && flow.granted <= upstream->last_failure)
+    return;
+  upstream->back_off = upstream->is_failed
+                           ? std::min(upstream->back_off * 2, kMaxBackOff)
+                           : kMinBackOff;
+  upstream->is_failed = true;
+  upstream->last_failure = now;
+  upstream->out_until = now + upstream->back_off;
+}
+
+void PoolState::RecordResponse(const OutstandingFlow& flow,
+                               double response_ms,
+                               SteadyTime now) {
+  Upstream* upstream = FindUpstream(flow.upstream_id);
+  if (!upstream)
+    return;
+  if (upstream->is_failed) {
+    upstream->is_failed = false;
+    upstream->trial.reset();
+    upstream->limit = 1;
+  } else if (upstream->limit <= upstream->slots) {
+    ++upstream->limit;
+  }
+  if (!flow.had_free_slot || response_ms <= 0 ||
+      upstream->record.cold_until > flow.granted)
+    return;
+  upstream->estimator.Add(flow.work_ms, response_ms, now);
+  upstream->speed = upstream->estimator.Speed(now);
+}
+
+Capacity PoolState::CapacityAt(SteadyTime now) const {
+  Capacity capacity;
+  double slots = 0;
+  for (const Upstream& upstream : m_upstreams) {
+    capacity.outstanding += upstream.running.size();
+    if (!upstream.record.accepts_new_flows)
+      continue;
+    capacity.has_usable |= IsUsable(upstream, now);
+    if (upstream.is_failed)
+      continue;
+    const uint32_t usable = std::min(upstream.limit, upstream.slots);
+    capacity.places += upstream.slots;
+    slots += usable;
+    capacity.work_rate += usable * EffectiveSpeed(upstream, now);
+    if (HasFreeSlot(upstream, now))
+      capacity.free_slots += usable - upstream.running.size();
+    for (const Running& running : upstream.running) {
+      if (!running.is_started)
+        capacity.backlog_ms += running.work_ms;
+    }
+  }
+  if (slots > 0)
+    capacity.mean_speed = capacity.work_rate / slots;
+  return capacity;
+}
+
+bool PoolState::Contains(uint64_t upstream_id) const {
+  return m_index.contains(upstream_id);
+}
+
+bool PoolState::IsCold(uint64_t upstream_id, SteadyTime now) const {
+  const Upstream* upstream = FindUpstream(upstream_id);
+  return upstream && upstream->record.cold_until > now;
+}
+
+double PoolState::SpeedOf(uint64_t upstream_id) const {
+  const Upstream* upstream = FindUpstream(upstream_id);
+  return upstream ? upstream->speed : 1;
+}
+
+std::vector<PoolState::SpeedRecord> PoolState::Speeds(SteadyTime now) const {
+  std::vector<SpeedRecord> records;
+  for (const Upstream& upstream : m_upstreams) {
+    records.push_back({upstream.record.id, upstream.record.started_unix_ms,
+                       upstream.estimator.Speed(now),
+                       upstream.estimator.Samples(now)});
+  }
+  return records;
+}
+
+void PoolState::SeedSpeed(const SpeedRecord& record, SteadyTime now) {
+  Upstream* upstream = FindUpstream(record.upstream_id);
+  if (!upstream || upstream->record.started_unix_ms != record.started_unix_ms)
+    return;
+  upstream->estimator.Seed(record.speed, record.samples, now);
+  upstream->speed = upstream->estimator.Speed(now);
+}
+
+PoolState::Upstream* PoolState::FindUpstream(uint64_t id) {
+  const auto index = m_index.find(id);
+  return index == m_index.end() ? nullptr : &m_upstreams[index->second];
+}
+
+const PoolState::Upstream* PoolState::FindUpstream(uint64_t id) const {
+  const auto index = m_index.find(id);
+  return index == m_index.end() ? nullptr : &m_upstreams[index->second];
+}
+
+}  // namespace poplarsail::scheduling
--- a/src/libs/scheduling/scheduling.h
+++ b/src/libs/scheduling/scheduling.h
@@ -6,6 +6,7 @@
 
 #include "scheduling/message_codec.h"
 #include "scheduling/placement_client.h"
+#include "scheduling/scheduler_figures.h"
 #include "scheduling/service_scheduler.h"
 #include "scheduling/single_request_detector.h"
 #include "scheduling/types.h"
--- a/src/libs/scheduling/service_scheduler.h
+++ b/src/libs/scheduling/service_scheduler.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "scheduling/message_codec.h"
+#include "scheduling/scheduler_figures.h"
 #include "scheduling/types.h"
 
 namespace poplarsail::scheduling {
@@ -54,6 +56,9 @@
   void RecordAnnouncement(const Announcement& announcement, SteadyTime now);
   // A forwarded request was refused there.
   SchedulerActions OnForwardRefused(const RequestKey& key, SteadyTime now);
+  // A forwarded request was granted there. Without this call it waits here
+  // after 60 ms, until its host lists or completes it.
+  void OnForwardGranted(const RequestKey& key, SteadyTime now);
   // Call every 10 ms while requests wait, else at least once a second.
   SchedulerActions Tick(SteadyTime now);
 
@@ -61,6 +66,16 @@
   // the caller.
   Announcement Summary(SteadyTime now) const;
 
+  // Speeds and work for the schedulers that may follow this one.
+  LearnedMessage ExportLearned(SteadyTime now) const;
+  // Takes over what another scheduler has learned where it knows more.
+  void ImportLearned(const LearnedMessage& learned, SteadyTime now);
+
+  SchedulerFigures figures() const;
+  // Returns the waits of requests granted since the last call, at most the
+  // last 1,024.
+  std::vector<RecordedWait> TakeWaits();
+
  private:
   struct State;
   std::unique_ptr<State> m_state;
