--- a/src/libs/scheduling/fair_queue.cc
+++ b/src/libs/scheduling/fair_queue.cc
@@ -1,8 +1,6 @@
 #include "scheduling/fair_queue.h"
 
 #include <algorithm>
-#include <queue>
-#include <ranges>
 
 namespace poplarsail::scheduling {
 
@@ -108,7 +106,8 @@
 }
 
 std::optional<WaitingRequest> FairQueue::EvictBelow(uint32_t priority) {
-  for (const auto& [lowest, level] : std::views::reverse(m_levels)) {
+  for (auto it = m_levels.rbegin(); it != m_levels.rend(); ++it) {
+    const auto& [lowest, level] = *it;
     if (lowest <= priority)
       return std::nullopt;
     const WaitingRequest* newest = nullptr;
@@ -249,16 +248,16 @@
 void FairQueue::Purge() {
   for (auto& [priority, level] : m_levels) {
     for (auto& [endpoint, listener] : level.listeners) {
-      std::erase_if(listener.clients, [&](const auto& entry) {
+      std::erase_if(listener.clients, [&parent = listener](const auto& entry) {
         const Client& client = entry.second;
         return client.requests.empty() &&
-               (listener.count == 0 || client.start <= listener.virtual_time);
+               (parent.count == 0 || client.start <= parent.virtual_time);
       });
     }
-    std::erase_if(level.listeners, [&](const auto& entry) {
+    std::erase_if(level.listeners, [&parent = level](const auto& entry) {
       const Listener& listener = entry.second;
       return listener.count == 0 &&
-             (level.count == 0 || listener.start <= level.virtual_time);
+             (parent.count == 0 || listener.start <= parent.virtual_time);
     });
   }
   std::erase_if(m_levels,
