--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -15,6 +15,7 @@
 
 #include "cluster_state/cluster_state.h"
 #include "entry/failure_report_channel.h"
+#include "entry/flow_scheduling.h"
 #include "entry/http_server.h"
 #include "entry/metrics.h"
 #include "entry/packet_loop.h"
@@ -63,9 +64,23 @@
                         [this](uint64_t upstream_id) {
                           packets.OnFailureReport(upstream_id);
                         }),
+        scheduling(context,
+                   &peer_socket,
+                   &packets,
+                   {{peer_socket.own_endpoint(),
+                     CapacityClass(settings.cpu_thousandths)},
+                    settings.failure_domain,
+                    settings.is_scheduling_enabled}),
         tick(*context),
         stop(*context),
-        signals(*context, SIGTERM, SIGINT, SIGHUP) {}
+        signals(*context, SIGTERM, SIGINT, SIGHUP) {
+    steering.set_scheduler(&scheduling);
+  }
+
+  ~Components() { steering.set_scheduler(nullptr); }
+
+  Components(const Components&) = delete;
+  Components& operator=(const Components&) = delete;
 
   telemetry::BoundedLogSink log;
   cluster_state::ClusterState cluster_state;
@@ -81,6 +96,7 @@
   VersionFloor version_floor;
   PeerSocket peer_socket;
   FailureReportChannel failure_reports;
+  FlowScheduling scheduling;
   std::vector<std::unique_ptr<StoreWatcher>> store_watchers;
   std::unique_ptr<PeerExchange> peer_exchange;
   cluster_state::SteadyTime next_settings_check;
@@ -150,6 +166,8 @@
     m_components->placement->set_host_count(fleet.host_count);
     m_components->failure_reports.set_local_peers(fleet.local_peers);
     m_components->failure_reports.set_remote_peers(fleet.remote_peers);
+    m_components->scheduling.SetLocalCandidates(MakeCandidates(fleet));
+    m_components->scheduling.SetRemotePeers(fleet.remote_peers);
   };
   m_components->packets.set_on_upstream_failure([this](uint64_t upstream_id) {
     m_components->failure_reports.Broadcast(upstream_id);
@@ -270,6 +288,7 @@
 void EntryDaemon::OnClusterStateChange() {
   m_components->steering.Update(m_components->cluster_state,
                                 std::chrono::steady_clock::now());
+  m_components->scheduling.Update(m_components->cluster_state);
   m_components->packets.RetryHeldPackets();
   LogReadiness();
   LogConfigurationInForce();
