Reset no flow on a peer's report alone

Cause: a report counted as two timeouts of this host's own. A stopping upstream is unregistered and refuses connections while it still responds on its flows; the host whose check was refused reported it, and all others then reset the next packet of each of its flows, or all of them when their own check was refused. Change: a report keeps new flows away and triggers a check, and counts as no timeout.

--- a/src/libs/flows/liveness.cc
+++ b/src/libs/flows/liveness.cc
@@ -7,14 +7,16 @@
 void Liveness::RecordResponse(SteadyTime now) {
   m_last_response = now;
   m_is_refusing = false;
+  m_is_reported = false;
   m_timeouts = 0;
   m_syn_timeouts = 0;
 }
 
 void Liveness::RecordConnection(SteadyTime now) {
-  const bool had_timeouts = m_timeouts > 0;
+  const bool had_timeouts = m_timeouts > 0 || m_is_reported;
   m_last_response = now;
   m_is_refusing = false;
+  m_is_reported = false;
   m_timeouts = 0;
   m_next_trial = had_timeouts ? now : m_next_trial;
 }
@@ -44,7 +46,7 @@
 }
 
 void Liveness::RecordPeerReport(SteadyTime now) {
-  m_timeouts = std::max(m_timeouts, kSuspectThreshold);
+  m_is_reported = true;
   m_next_trial = std::max(m_next_trial, now + kTrialDelay);
 }
 
@@ -58,8 +60,8 @@
 }
 
 Health Liveness::health(SteadyTime now) const {
-  if (m_timeouts < kSuspectThreshold) {
-    return Health::kHealthy;
+  if (!HasRepeatedTimeouts()) {
+    return m_is_reported ? Health::kSuspect : Health::kHealthy;
   }
   const bool is_spread =
       m_last_timeout - m_first_timeout >= kPresumedDeadMinSpan;
--- a/src/libs/flows/liveness.h
+++ b/src/libs/flows/liveness.h
@@ -64,8 +64,9 @@
   // A packet that was forwarded at `sent` had no response until `now`.
   void RecordResponseTimeout(SteadyTime sent, SteadyTime now);
 
-  // Another host reports that the upstream does not respond. The upstream is
-  // suspect until this host's own observations decide.
+  // Another host reports that the upstream does not respond. New flows avoid it
+  // until this host's own observations decide; a report counts as no timeout,
+  // since it may also come from the refusal of an upstream that is stopping.
   void RecordPeerReport(SteadyTime now);
 
   // A check, which does not depend on packets of flows, got no response.
@@ -84,8 +85,10 @@
 
   // Whether it refused a connection and has not responded since.
   bool is_refusing() const { return m_is_refusing; }
-  // Whether a flow timed out since the last response.
+  // Whether a flow of this host timed out since the last response.
   bool has_timeouts() const { return m_timeouts > 0; }
+  // Whether this host's own flows and checks make the upstream suspect.
+  bool HasRepeatedTimeouts() const { return m_timeouts >= kSuspectThreshold; }
   SteadyTime last_response() const { return m_last_response; }
   SteadyTime first_timeout() const { return m_first_timeout; }
   // Whether a check failed within kPresumedDeadDuration.
@@ -102,6 +105,8 @@
   SteadyTime m_next_trial;
   SteadyTime m_last_failed_check;
   bool m_is_refusing = false;
+  // Another host has reported it since the last response.
+  bool m_is_reported = false;
   uint32_t m_timeouts = 0;
   // SYNs without a response since the last response on a flow.
   uint32_t m_syn_timeouts = 0;
--- a/src/libs/flows/steering_checks.cc
+++ b/src/libs/flows/steering_checks.cc
@@ -161,7 +161,7 @@
   const Liveness& liveness = upstream.liveness;
   const Health health = liveness.health(now);
   if (health == Health::kSuspect) {
-    return upstream.is_unregistered;
+    return upstream.is_unregistered && liveness.HasRepeatedTimeouts();
   }
   // Timeouts alone prove nothing while no other upstream responds in time
   // either: this host's own link or CPU may be overloaded.
--- a/tests/auto/flows/tst_checks.cc
+++ b/tests/auto/flows/tst_checks.cc
@@ -75,6 +75,30 @@
   }
 }
 
+// A stopping upstream is unregistered while it still responds on its flows. The
+// first host whose check is refused reports it to the others, and there the
+// report alone counted as two timeouts: they reset the next packet of each flow
+// that carried no acknowledgement (zlab-west-grown, FLOW), and the refusal of
+// the check that the report triggers ended all flows.
+TEST_CASE("A peer's report alone ends no flow of a stopping upstream") {
+  OverdueFixture fixture;
+  fixture.AcknowledgeResponse(1, fixture.open.tag);
+  fixture.RemoveUpstream(1);
+  fixture.now += 1s;
+  REQUIRE(fixture.steering.HandleFailureReport(1, fixture.now) != nullptr);
+  fixture.now += 5ms;
+  SECTION("A request follows at once") {
+    CHECK(fixture.SendNextRequest().action == Action::kForward);
+  }
+  SECTION("The check that it triggers is refused") {
+    CHECK(fixture.HandleResult(CheckOutcome::kRefused).flows_to_reset.empty());
+    CHECK(fixture.SendNextRequest().action == Action::kForward);
+  }
+  // New flows avoid it all the same.
+  CHECK(fixture.steering.Decide(FlowFixture::Syn(2), fixture.now)
+            .upstream->record.id == 2);
+}
+
 TEST_CASE("A partition that resets connections ends flows") {
   // Checks of the upstreams behind it were refused, and their flows waited for
   // the clients' deadlines (abo-sail trouble-1, zone_cut reset).
