Plan waiting requests with the length of long ones, refuse earlier

Waiting requests are planned with the mean work of the longest 5 %, which is assumed until there are samples. Demand of higher priorities is learned within 250 ms, so that refusals come at once.

--- a/src/libs/scheduling/admission.cc
+++ b/src/libs/scheduling/admission.cc
@@ -11,6 +11,9 @@
 // Every 20th grant goes to the lowest waiting priority, which is this share.
 constexpr uint32_t kGrantsPerLowest = 20;
 constexpr double kMinShare = 1.0 / kGrantsPerLowest;
+// A prediction has to worsen by this share of the target before a request that
+// already waits is refused.
+constexpr double kRecheckSlack = 0.1;
 // Bounds memory; predictions keep the queue far shorter in a pool of 300
 // places.
 constexpr size_t kMaxWaiting = 4'096;
@@ -134,7 +137,7 @@
   if (TryForward(waiting, wait_ms, now))
     return;
   const double planned_ms =
-      listeners.Find(waiting.request.listener).PlannedWorkMs() /
+      listeners.Find(waiting.request.listener).planned_work_ms /
       capacity.mean_speed;
   if (wait_ms + planned_ms > MsUntil(now, waiting.complete_by) ||
       now >= waiting.leave_by) {
@@ -255,8 +258,12 @@
     if (is_new)
       rate->second = DrainRate(capacity, waiting->priority, now);
     const double wait_ms = (ahead_ms + waiting->work_ms) / rate->second;
-    const double completion_ms =
-        wait_ms + waiting->work_ms / capacity.mean_speed;
+    const ListenerState& listener = listeners.Find(waiting->request.listener);
+    const double slack_ms =
+        listener.terms.latency_target.count() * kRecheckSlack;
+    const double work_ms =
+        std::max(waiting->work_ms, listener.planned_work_ms - slack_ms);
+    const double completion_ms = wait_ms + work_ms / capacity.mean_speed;
     if (capacity.has_usable && now < waiting->leave_by &&
         completion_ms <= MsUntil(now, waiting->complete_by)) {
       ahead_ms += waiting->work_ms;
--- a/src/libs/scheduling/listener_table.cc
+++ b/src/libs/scheduling/listener_table.cc
@@ -11,12 +11,18 @@
 constexpr milliseconds kDefaultTimeout(30'000);
 // Responses below this share of the median are probably errors.
 constexpr double kErrorShareOfMedian = 0.1;
-constexpr double kDemandDecayMs = 500;
-
-double DecayFactor(SteadyTime from, SteadyTime to) {
-  const std::chrono::duration<double, std::milli> age = to - from;
-  return std::exp(-std::max(age.count(), 0.0) / kDemandDecayMs);
-}
+// Requests may wait for a quarter of their target even if some of them need
+// nearly all of it.
+constexpr double kMaxPlannedShare = 0.75;
+// The longest 5 % of requests take this many times the mean, until enough
+// samples show their length. Under overload few responses are samples.
+constexpr double kPriorTail = 7;
+constexpr double kPriorTailSamples = 200;
+// Long enough for a steady rate, short enough to refuse within 100 ms when a
+// burst begins.
+constexpr double kMinDemandDecayMs = 250;
+// A few long requests in a small pool are no rate.
+constexpr double kDemandDecayPerWork = 4;
 
 ListenerTerms WithDefaults(ListenerTerms terms) {
   if (terms.latency_target.count() <= 0)
@@ -29,7 +35,8 @@
 ListenerState::ListenerState(const ListenerTerms& listener_terms)
     : terms(WithDefaults(listener_terms)),
       work(terms.latency_target.count() * kPriorShareOfTarget),
-      estimate(work.Estimate({})) {}
+      estimate(work.Estimate({})),
+      planned_work_ms(estimate.mean_ms) {}
 
 void ListenerState::AddSample(double work_ms, SteadyTime now) {
   if (work_ms < estimate.median_ms * kErrorShareOfMedian)
@@ -37,10 +44,17 @@
   work.Add(work_ms, now);
 }
 
-double ListenerState::PlannedWorkMs() const {
+void ListenerState::Refresh(SteadyTime now) {
+  estimate = work.Estimate(now);
+  const double learned_ms =
+      estimate.p95_ms + work.RemainingMs(estimate.p95_ms, now);
+  const double tail_ms = (learned_ms * estimate.samples +
+                          estimate.mean_ms * kPriorTail * kPriorTailSamples) /
+                         (estimate.samples + kPriorTailSamples);
   const double target_ms = terms.latency_target.count();
-  return std::clamp(estimate.p95_ms, estimate.mean_ms,
-                    std::max(estimate.mean_ms, target_ms / 2));
+  planned_work_ms =
+      std::clamp(tail_ms, estimate.mean_ms,
+                 std::max(estimate.mean_ms, target_ms * kMaxPlannedShare));
 }
 
 SteadyTime ListenerState::Expiry(SteadyTime granted) const {
@@ -60,7 +74,7 @@
     ListenerState state(listener);
     if (known != m_listeners.end())
       state.work = std::move(known->second.work);
-    state.estimate = state.work.Estimate(now);
+    state.Refresh(now);
     listeners.emplace(listener.listener, std::move(state));
   }
   m_listeners = std::move(listeners);
@@ -69,8 +83,14 @@
 
 void ListenerTable::Refresh(SteadyTime now) {
   for (auto& [endpoint, listener] : m_listeners)
-    listener.estimate = listener.work.Estimate(now);
-  m_unknown.estimate = m_unknown.work.Estimate(now);
+    listener.Refresh(now);
+  m_unknown.Refresh(now);
+  const double decay_ms =
+      std::max(kMinDemandDecayMs, kDemandDecayPerWork * MeanWorkMs());
+  // The rates stay the same.
+  for (auto& [priority, demand] : m_demand)
+    demand.work_ms *= decay_ms / m_demand_decay_ms;
+  m_demand_decay_ms = decay_ms;
 }
 
 ListenerState& ListenerTable::Find(const Ipv4Endpoint& endpoint) {
@@ -78,21 +98,27 @@
   return found == m_listeners.end() ? m_unknown : found->second;
 }
 
+double ListenerTable::DecayedMs(const Demand& demand, SteadyTime now) const {
+  const std::chrono::duration<double, std::milli> age = now - demand.updated;
+  return demand.work_ms *
+         std::exp(-std::max(age.count(), 0.0) / m_demand_decay_ms);
+}
+
 void ListenerTable::RecordDemand(uint32_t priority,
                                  double work_ms,
                                  SteadyTime now) {
   Demand& demand = m_demand[priority];
-  demand.work_ms = demand.work_ms * DecayFactor(demand.updated, now) + work_ms;
+  demand.work_ms = DecayedMs(demand, now) + work_ms;
   demand.updated = now;
 }
 
 double ListenerTable::DemandAbove(uint32_t priority, SteadyTime now) const {
-  double rate = 0;
+  double work_ms = 0;
   for (const auto& [other, demand] : m_demand) {
     if (other < priority)
-      rate += demand.work_ms * DecayFactor(demand.updated, now);
+      work_ms += DecayedMs(demand, now);
   }
-  return rate / kDemandDecayMs;
+  return work_ms / m_demand_decay_ms;
 }
 
 double ListenerTable::MeanWorkMs() const {
@@ -127,7 +153,7 @@
     found->second.work.Seed({learned.mean_ms, learned.median_ms, learned.p95_ms,
                              learned.samples, now},
                             now);
-    found->second.estimate = found->second.work.Estimate(now);
+    found->second.Refresh(now);
   }
 }
 
--- a/src/libs/scheduling/listener_table.h
+++ b/src/libs/scheduling/listener_table.h
@@ -16,15 +16,17 @@
   // Adds the work of a response that did not wait, unless it is so short that
   // it was probably an error.
   void AddSample(double work_ms, SteadyTime now);
-  // Work that a waiting request is planned with: high enough that most requests
-  // admitted to the queue complete in time.
-  double PlannedWorkMs() const;
+  void Refresh(SteadyTime now);
   SteadyTime Expiry(SteadyTime granted) const;
 
   ListenerTerms terms;
   load::WorkEstimator work;
   // As of the last refresh.
   load::WorkEstimate estimate;
+  // Mean work of the longest 5 % of requests. A waiting request is planned with
+  // it: long requests are much of the work, and that is lost if they wait so
+  // long that they complete late.
+  double planned_work_ms = 0;
 };
 
 // The listeners of a service with the work of their requests, and the demand by
@@ -54,9 +56,12 @@
     SteadyTime updated;
   };
 
+  double DecayedMs(const Demand& demand, SteadyTime now) const;
+
   std::map<Ipv4Endpoint, ListenerState> m_listeners;
   ListenerState m_unknown;
   std::map<uint32_t, Demand> m_demand;
+  double m_demand_decay_ms = 250;
 };
 
 }  // namespace poplarsail::scheduling
