--- a/src/libs/scheduling/admission.cc
+++ b/src/libs/scheduling/admission.cc
@@ -100,8 +100,8 @@
 }
 
 double ServiceScheduler::State::PredictWaitMs(const WaitingRequest& waiting,
+                                              const Capacity& capacity,
                                               SteadyTime now) const {
-  const Capacity capacity = pool.CapacityAt(now);
   if (capacity.work_rate <= 0)
     return std::numeric_limits<double>::infinity();
   const double ahead_ms =
@@ -112,28 +112,22 @@
 }
 
 void ServiceScheduler::State::Admit(WaitingRequest waiting, SteadyTime now) {
-  const Capacity capacity = pool.CapacityAt(now);
-  if (!capacity.has_usable) {
-    Refuse(waiting, RefusalReason::kNoUpstream, now);
-    return;
-  }
-  if (waiting.request.is_forwarded) {
-    // Own callers first: nothing of another domain waits or goes ahead.
-    const auto upstream_id =
-        queue.size() == 0 ? ChoosePlace(waiting, false, now) : std::nullopt;
-    if (upstream_id)
-      Grant(waiting, *upstream_id, now);
-    else
-      Refuse(waiting, RefusalReason::kNoRoom, now);
-    return;
-  }
+  // Own callers first: nothing of another domain waits or goes ahead.
+  const bool is_forwarded = waiting.request.is_forwarded;
   if (queue.size() == 0) {
-    if (const auto upstream_id = ChoosePlace(waiting, true, now)) {
+    if (const auto upstream_id = ChoosePlace(waiting, !is_forwarded, now)) {
       Grant(waiting, *upstream_id, now);
       return;
     }
   }
-  const double wait_ms = PredictWaitMs(waiting, now);
+  const Capacity capacity = pool.CapacityAt(now);
+  if (!capacity.has_usable || is_forwarded) {
+    Refuse(waiting,
+           is_forwarded ? RefusalReason::kNoRoom : RefusalReason::kNoUpstream,
+           now);
+    return;
+  }
+  const double wait_ms = PredictWaitMs(waiting, capacity, now);
   if (TryForward(waiting, wait_ms, now))
     return;
   const double planned_ms =
--- a/src/libs/scheduling/fair_queue.cc
+++ b/src/libs/scheduling/fair_queue.cc
@@ -50,15 +50,16 @@
   return order;
 }
 
-std::vector<std::pair<double, uint32_t>> FairQueue::ClientsByStart(
+std::vector<std::pair<double, uint32_t>> FairQueue::ClientHeap(
     const Listener& listener) {
-  std::vector<std::pair<double, uint32_t>> order;
+  std::vector<std::pair<double, uint32_t>> heap;
+  heap.reserve(listener.clients.size());
   for (const auto& [address, client] : listener.clients) {
     if (!client.requests.empty())
-      order.emplace_back(client.start, address);
+      heap.emplace_back(client.start, address);
   }
-  std::ranges::sort(order);
-  return order;
+  std::ranges::make_heap(heap, std::greater<>());
+  return heap;
 }
 
 std::optional<WaitingRequest> FairQueue::TakeNext(bool lowest_first,
@@ -74,7 +75,11 @@
     Level& level = m_levels.at(priority);
     for (const auto& [start, endpoint] : ListenersByStart(level)) {
       Listener& listener = level.listeners.at(endpoint);
-      for (const auto& [client_start, address] : ClientsByStart(listener)) {
+      // Nearly always the first client is taken, so no order of all is needed.
+      auto heap = ClientHeap(listener);
+      for (; !heap.empty(); heap.pop_back()) {
+        std::ranges::pop_heap(heap, std::greater<>());
+        const auto [client_start, address] = heap.back();
         Client& client = listener.clients.at(address);
         if (!visit(client.requests.front()))
           continue;
--- a/src/libs/scheduling/fair_queue.h
+++ b/src/libs/scheduling/fair_queue.h
@@ -95,7 +95,7 @@
                                     uint32_t client_address);
   static std::vector<std::pair<double, Ipv4Endpoint>> ListenersByStart(
       const Level& level);
-  static std::vector<std::pair<double, uint32_t>> ClientsByStart(
+  static std::vector<std::pair<double, uint32_t>> ClientHeap(
       const Listener& listener);
   static void AppendInOrder(const Level& level,
                             std::vector<const WaitingRequest*>& order);
--- a/src/libs/scheduling/pool_state.cc
+++ b/src/libs/scheduling/pool_state.cc
@@ -144,15 +144,12 @@
   }
   if (best_ms == kNone)
     return std::nullopt;
-  const auto is_tied = [&](double ms) {
-    return ms != kNone && ms <= best_ms * kTieFactor;
-  };
-  auto chosen = m_random() % std::ranges::count_if(m_scratch, is_tied);
+  m_ties.clear();
   for (size_t i = 0; i < m_upstreams.size(); ++i) {
-    if (is_tied(m_scratch[i]) && chosen-- == 0)
-      return m_upstreams[i].record.id;
+    if (m_scratch[i] != kNone && m_scratch[i] <= best_ms * kTieFactor)
+      m_ties.push_back(i);
   }
-  return std::nullopt;
+  return m_upstreams[m_ties[m_random() % m_ties.size()]].record.id;
 }
 
 std::optional<uint64_t> PoolState::Choose(const PlaceDemand& demand,
@@ -196,7 +193,7 @@
       After(running.started, flow.work_ms / EffectiveSpeed(*upstream, now));
   upstream->running.push_back(running);
   m_flows.insert_or_assign(flow.key, std::move(flow));
-  UpdateEarliestEnd(*upstream);
+  UpdateForecast(*upstream);
 }
 
 std::optional<OutstandingFlow> PoolState::Remove(const RequestKey& key,
@@ -210,7 +207,7 @@
     if (upstream->trial == key)
       upstream->trial.reset();
     StartNext(*upstream, now);
-    UpdateEarliestEnd(*upstream);
+    UpdateForecast(*upstream);
   }
   return std::move(node.mapped());
 }
@@ -229,11 +226,14 @@
   }
 }
 
-void PoolState::UpdateEarliestEnd(Upstream& upstream) {
+void PoolState::UpdateForecast(Upstream& upstream) {
   upstream.earliest_end = SteadyTime::max();
+  upstream.backlog_ms = 0;
   for (const Running& running : upstream.running) {
     if (running.is_started)
       upstream.earliest_end = std::min(upstream.earliest_end, running.end);
+    else
+      upstream.backlog_ms += running.work_ms;
   }
 }
 
@@ -311,10 +311,7 @@
     capacity.work_rate += usable * EffectiveSpeed(upstream, now);
     if (HasFreeSlot(upstream, now))
       capacity.free_slots += usable - upstream.running.size();
-    for (const Running& running : upstream.running) {
-      if (!running.is_started)
-        capacity.backlog_ms += running.work_ms;
-    }
+    capacity.backlog_ms += upstream.backlog_ms;
   }
   if (slots > 0)
     capacity.mean_speed = capacity.work_rate / slots;
--- a/src/libs/scheduling/pool_state.h
+++ b/src/libs/scheduling/pool_state.h
@@ -119,6 +119,8 @@
     uint32_t limit = 1;
     double speed = 1;
     SteadyTime earliest_end;
+    // Work of flows that wait there.
+    double backlog_ms = 0;
     SteadyTime next_cold_grant;
     // Set while failed: out of rotation until this time, then on trial.
     bool is_failed = false;
@@ -142,7 +144,7 @@
                                       bool obey_exclusions,
                                       SteadyTime now);
   void StartNext(Upstream& upstream, SteadyTime now);
-  static void UpdateEarliestEnd(Upstream& upstream);
+  static void UpdateForecast(Upstream& upstream);
   Upstream* FindUpstream(uint64_t id);
   const Upstream* FindUpstream(uint64_t id) const;
 
@@ -154,6 +156,7 @@
   // Predicted completions of one decision, by upstream; kept to avoid
   // allocations.
   std::vector<double> m_scratch;
+  std::vector<size_t> m_ties;
   std::mt19937_64 m_random;
 };
 
@@ -173,7 +176,7 @@
       running.end = now + std::chrono::duration_cast<SteadyTime::duration>(
                               Milliseconds(left_ms));
     }
-    UpdateEarliestEnd(upstream);
+    UpdateForecast(upstream);
   }
 }
 
--- a/src/libs/scheduling/scheduler_state.h
+++ b/src/libs/scheduling/scheduler_state.h
@@ -49,7 +49,9 @@
   double DrainRate(const Capacity& capacity,
                    uint32_t priority,
                    SteadyTime now) const;
-  double PredictWaitMs(const WaitingRequest& waiting, SteadyTime now) const;
+  double PredictWaitMs(const WaitingRequest& waiting,
+                       const Capacity& capacity,
+                       SteadyTime now) const;
   void Admit(WaitingRequest waiting, SteadyTime now);
   void Enqueue(WaitingRequest waiting, SteadyTime now);
   bool TryForward(WaitingRequest& waiting, double wait_ms, SteadyTime now);
--- a/tests/auto/scheduling/tst_message_codec.cc
+++ b/tests/auto/scheduling/tst_message_codec.cc
@@ -1,2 +1,2 @@
-#include <catch2/catch.hpp>
 #include "scheduling/message_codec.h"
+#include <catch2/catch.hpp>
--- a/tests/auto/scheduling/tst_placement_client.cc
+++ b/tests/auto/scheduling/tst_placement_client.cc
@@ -1,2 +1,2 @@
-#include <catch2/catch.hpp>
 #include "scheduling/placement_client.h"
+#include <catch2/catch.hpp>
--- a/tests/auto/scheduling/tst_single_request_detector.cc
+++ b/tests/auto/scheduling/tst_single_request_detector.cc
@@ -1,2 +1,2 @@
-#include <catch2/catch.hpp>
 #include "scheduling/single_request_detector.h"
+#include <catch2/catch.hpp>
