--- a/src/libs/scheduling/admission.cc
+++ b/src/libs/scheduling/admission.cc
@@ -112,6 +112,11 @@
 }
 
 void ServiceScheduler::State::Admit(WaitingRequest waiting, SteadyTime now) {
+  // The scheduler was paused, or the request was on its way for too long.
+  if (now >= waiting.leave_by) {
+    Refuse(waiting, RefusalReason::kNoRoom, now);
+    return;
+  }
   // Own callers first: nothing of another domain waits or goes ahead.
   const bool is_forwarded = waiting.request.is_forwarded;
   if (queue.size() == 0) {
@@ -133,8 +138,7 @@
   const double planned_ms =
       listeners.Find(waiting.request.listener).planned_work_ms /
       capacity.mean_speed;
-  if (wait_ms + planned_ms > MsUntil(now, waiting.complete_by) ||
-      now >= waiting.leave_by) {
+  if (wait_ms + planned_ms > MsUntil(now, waiting.complete_by)) {
     Refuse(waiting, RefusalReason::kNoRoom, now);
     return;
   }
@@ -229,7 +233,7 @@
     int skipped_count = 0;
     const auto taken =
         queue.TakeNext(lowest_first, [&](const WaitingRequest& waiting) {
-          if (skipped_count > kMaxSkipped)
+          if (skipped_count > kMaxSkipped || now >= waiting.leave_by)
             return false;
           upstream_id = ChoosePlace(waiting, true, now);
           skipped_count += upstream_id ? 0 : 1;
--- a/tests/auto/scheduling/tst_service_scheduler.cc
+++ b/tests/auto/scheduling/tst_service_scheduler.cc
@@ -152,6 +152,20 @@
   CHECK(fixture.scheduler.Summary(At(800)).waiting == 0);
 }
 
+// A paused scheduler granted requests whose clients had given up.
+TEST_CASE("Requests older than 1.3 s are not granted") {
+  Fixture fixture(1);
+  fixture.pool.listeners[0].latency_target = milliseconds(5'000);
+  fixture.scheduler.UpdatePool(fixture.pool, At(0));
+  for (uint32_t token = 1; token <= 4; ++token)
+    fixture.Submit(token, 0);
+  REQUIRE(fixture.scheduler.Summary(At(0)).waiting == 1);
+  CHECK_FALSE(Has(fixture.Complete(1, 1'300), kGrant, 4));
+  PlacementRequest late{{kHost, 5}, kFirst, 7, At(0), {}};
+  CHECK(Has(fixture.scheduler.Submit(late, At(1'300)), kRefuse, 5));
+  CHECK(Has(fixture.scheduler.Tick(At(1'300)), kRefuse, 4));
+}
+
 // A target below the work itself made every request a refusal.
 TEST_CASE("Requests that never fit their target get free places") {
   Fixture fixture(1);
