--- a/tests/auto/scheduling/tst_message_codec.cc
+++ b/tests/auto/scheduling/tst_message_codec.cc
@@ -147,6 +147,7 @@
   REQUIRE(DecodeMessage(speed(1.0)));
   REQUIRE(DecodeMessage(Pack(2, 5, web, List(List(1, 2, 1, 3)))));
   REQUIRE(DecodeMessage(Pack(2, 1, web, 1, 1, 80, 3, 4, none)));
+  REQUIRE(DecodeMessage(Pack(2, 5, web, std::vector(200, List(1, 2, 1, 3)))));
   const std::vector<std::pair<std::string, Bytes>> cases = {
       {"empty", {}},
       {"version 1", Pack(1, 3, web, 7)},
@@ -173,6 +174,7 @@
       {"use-other without the other", Pack(2, 4, web, 1, 3)},
       {"outcome 0", Pack(2, 5, web, List(List(1, 2, 0, 3)))},
       {"outcome 4", Pack(2, 5, web, List(List(1, 2, 4, 3)))},
+      {"completion of five fields", Pack(2, 5, web, List(List(1, 2, 1, 3, 4)))},
       {"completion of three fields", Pack(2, 5, web, List(List(1, 2, 1)))},
       {"long response time", Pack(2, 5, web, List(List(1, 2, 1, 6'000'001)))},
       {"part beyond the count", Pack(2, 6, web, none, 2, 2)},
@@ -190,7 +192,7 @@
       {"too deep", Pack(2, 5, web, List(List(List(List(List(1))))))},
       {"deep nesting", Bytes(1'200, 0x91)},
       {"huge array", {0xdd, 0xff, 0xff, 0xff, 0xff}},
-      {"oversized", Pack(2, 3, web, 7, std::string(1'200, 'x'))},
+      {"oversized", Pack(2, 5, web, std::vector(300, List(1, 2, 1, 3)))},
   };
   for (const auto& [name, datagram] : cases) {
     INFO(name);
--- a/tests/auto/scheduling/tst_placement_client.cc
+++ b/tests/auto/scheduling/tst_placement_client.cc
@@ -104,6 +104,8 @@
   const auto first = driver.Request();
   const uint32_t token = TokenOf(first);
   CHECK(Asked(first) == std::vector{kBest.endpoint});
+  // Only a scheduler that was asked can let the request wait.
+  driver.client.OnQueued(kSecond.endpoint, token, driver.now);
   CHECK(driver.Run(24).empty());
   CHECK(Asked(driver.Run(1)) == std::vector{kSecond.endpoint});
   CHECK(driver.client.IsHeld(token));
@@ -151,6 +153,7 @@
   driver.client.OnQueued(kBest.endpoint, token, driver.now);
   CHECK(driver.Run(499).empty());
   CHECK(Asked(driver.Run(1)) == std::vector{kSecond.endpoint});
+  CHECK(driver.client.scheduler_of(kService, driver.now) == kSecond.endpoint);
   CHECK(Only(driver.Run(59), Kind::kPlaceLocally).empty());
   CHECK(Only(driver.Run(1), Kind::kPlaceLocally).size() == 1);
   driver.client.OnPlaced(kService, token, 8, driver.now);
@@ -290,6 +293,8 @@
   driver.client.OnQueued(kOwn.endpoint, TokenOf(asked), driver.now);
   driver.client.SetCandidates({kBest, kSecond});
   CHECK(driver.Run(1'299).empty());
+  // Ticks may come at any time, not only at deadlines.
+  CHECK(driver.client.Tick(driver.now).empty());
   CHECK(Only(driver.Run(1), Kind::kReset).size() == 1);
 }
 
@@ -375,6 +380,32 @@
   CHECK_FALSE(driver.client.NextDeadline());
 }
 
+// Guards against a new scheduler that takes busy upstreams for free ones.
+TEST_CASE("A new scheduler and the one that granted both get the snapshot") {
+  Driver driver;
+  const uint32_t token = TokenOf(driver.Request());
+  driver.Run(25);
+  driver.client.OnGrant(kSecond.endpoint, token, 5, driver.now);
+  driver.client.OnPlaced(kService, token, 5, driver.now);
+  driver.Run(1'400);
+  const auto sent = driver.Run(500);
+  REQUIRE(sent.size() == 2);
+  CHECK(sent[0].scheduler == kBest.endpoint);
+  CHECK(sent[1].scheduler == kSecond.endpoint);
+  CHECK(sent[0].open_flows == sent[1].open_flows);
+  CHECK(sent[0].open_flows.size() == 1);
+}
+
+// Guards against schedulers that take requests after a restart of the host for
+// copies of earlier ones.
+TEST_CASE("Tokens differ between runs of a host") {
+  Driver before;
+  Driver after(before.now + milliseconds(1));
+  const uint32_t distance =
+      TokenOf(after.Request()) - TokenOf(before.Request());
+  CHECK(distance > 1'000'000);
+}
+
 TEST_CASE("The start of the clock changes no decision") {
   const auto play = [](Driver driver) {
     const SteadyTime start = driver.now;
@@ -409,4 +440,23 @@
   CHECK(driver.Request()[0].kind != Kind::kPlaceLocally);
 }
 
+TEST_CASE("Open flows and decided requests are bounded") {
+  Driver driver;
+  const uint32_t oldest = TokenOf(driver.Request());
+  // Until the silent schedulers are used again.
+  driver.Run(1'200);
+  for (uint32_t i = 1; i <= 70'000; ++i) {
+    driver.client.OnPlaced(kService, oldest + i, 5, driver.now);
+  }
+  const auto sent = Only(driver.Run(500), Kind::kSendSnapshot);
+  REQUIRE(!sent.empty());
+  CHECK(sent[0].open_flows.size() == 65'536);
+  for (uint32_t i = 1; i <= 8'192; ++i) {
+    driver.client.OnCompleted({oldest + i, 5}, driver.now);
+  }
+  driver.Run(10);
+  driver.client.OnGrant(kBest.endpoint, oldest, 5, driver.now);
+  CHECK(Only(driver.Run(10), Kind::kSendCompletions).empty());
+}
+
 }  // namespace poplarsail::scheduling
