--- a/src/libs/scheduling/flow_reports.cc
+++ b/src/libs/scheduling/flow_reports.cc
@@ -19,17 +19,22 @@
 
 }  // namespace
 
+FlowReports::Service& FlowReports::AddService(const std::string& service,
+                                              SteadyTime now) {
+  const auto [found, is_new] = m_services.try_emplace(service);
+  if (is_new) {
+    found->second.snapshot_due = now + kSnapshotInterval;
+  }
+  return found->second;
+}
+
 FlowReports::Flow* FlowReports::AddFlow(const std::string& service,
                                         uint32_t token,
                                         SteadyTime now) {
   if (m_flows.size() >= kMaxFlows) {
     return nullptr;
   }
-  const auto [found, is_new] = m_services.try_emplace(service);
-  if (is_new) {
-    found->second.snapshot_due = now + kSnapshotInterval;
-  }
-  found->second.tokens.insert(token);
+  AddService(service, now).tokens.insert(token);
   Flow& flow = m_flows[token];
   flow = {.service = service, .started = now};
   return &flow;
@@ -58,6 +63,12 @@
   }
 }
 
+void FlowReports::OnAsked(const std::string& service,
+                          const Ipv4Endpoint& scheduler,
+                          SteadyTime now) {
+  AddService(service, now).recipients.insert(scheduler);
+}
+
 void FlowReports::OnGranted(const std::string& service,
                             const Ipv4Endpoint& scheduler,
                             uint32_t token,
--- a/src/libs/scheduling/flow_reports.h
+++ b/src/libs/scheduling/flow_reports.h
@@ -23,6 +23,11 @@
   using SchedulerLookup =
       std::function<std::optional<Ipv4Endpoint>(const std::string& service)>;
 
+  // A request that `scheduler` may have granted was decided. The next snapshot
+  // frees the place if the grant was lost.
+  void OnAsked(const std::string& service,
+               const Ipv4Endpoint& scheduler,
+               SteadyTime now);
   void OnGranted(const std::string& service,
                  const Ipv4Endpoint& scheduler,
                  uint32_t token,
@@ -77,6 +82,7 @@
     SteadyTime until;
   };
 
+  Service& AddService(const std::string& service, SteadyTime now);
   Flow* AddFlow(const std::string& service, uint32_t token, SteadyTime now);
   void EraseFlow(uint32_t token, SteadyTime now);
   void Remember(uint32_t token, Decided decided);
--- a/src/libs/scheduling/placement_client.cc
+++ b/src/libs/scheduling/placement_client.cc
@@ -70,7 +70,7 @@
   // Changes to a held request go through these, which keep the deadlines.
   template <typename Change>
   void Update(uint32_t token, const Change& change);
-  Held Release(uint32_t token);
+  Held Release(uint32_t token, SteadyTime now);
 
   void AskNext(uint32_t token, SteadyTime now, ClientActions& actions);
   void Ask(uint32_t token,
@@ -124,7 +124,7 @@
   deadlines.insert({item.Due(), token});
 }
 
-Held PlacementClient::State::Release(uint32_t token) {
+Held PlacementClient::State::Release(uint32_t token, SteadyTime now) {
   const auto found = held.find(token);
   Held item = std::move(found->second);
   deadlines.erase({item.Due(), token});
@@ -132,6 +132,9 @@
   for (const Ipv4Endpoint& scheduler : item.queued_at) {
     Unqueue(token, scheduler);
   }
+  for (const Ipv4Endpoint& scheduler : item.asked) {
+    reports.OnAsked(item.service, scheduler, now);
+  }
   return item;
 }
 
@@ -188,7 +191,7 @@
 void PlacementClient::State::PlaceLocally(uint32_t token,
                                           SteadyTime now,
                                           ClientActions& actions) {
-  Held item = Release(token);
+  Held item = Release(token, now);
   reports.OnDecided(item.service, token, now);
   actions.push_back({.kind = ClientActionKind::kPlaceLocally,
                      .service = std::move(item.service),
@@ -199,7 +202,7 @@
                                    RefusalReason reason,
                                    SteadyTime now,
                                    ClientActions& actions) {
-  Held item = Release(token);
+  Held item = Release(token, now);
   reports.OnDecided(item.service, token, now);
   actions.push_back({.kind = ClientActionKind::kReset,
                      .service = std::move(item.service),
@@ -295,7 +298,7 @@
     m_state->reports.OnLateGrant(scheduler, token, upstream_id, now);
     return {};
   }
-  Held item = m_state->Release(token);
+  Held item = m_state->Release(token, now);
   m_state->reports.OnGranted(item.service, scheduler, token, upstream_id, now);
   return {{.kind = ClientActionKind::kPlace,
            .service = std::move(item.service),
--- a/tests/auto/scheduling/tst_placement_client.cc
+++ b/tests/auto/scheduling/tst_placement_client.cc
@@ -92,6 +92,7 @@
     REQUIRE(RankCandidates(hosts, "s" + std::to_string(i)) == ranked);
     ++first[ranked[0].endpoint];
   }
+  REQUIRE(first.size() == 3);
   for (const auto& [endpoint, count] : first) {
     // Guards against one host that schedules all services: 100 each, less six
     // standard deviations.
@@ -186,6 +187,18 @@
   }
 }
 
+// Guards against places that stay taken for grants which were lost.
+TEST_CASE("A scheduler whose answer was lost gets a snapshot") {
+  Driver driver;
+  driver.Request();
+  driver.Run(60);
+  const auto sent = Only(driver.Run(3'000), Kind::kSendSnapshot);
+  REQUIRE(sent.size() == 3);
+  CHECK(sent[0].scheduler == kBest.endpoint);
+  CHECK(sent[1].scheduler == kSecond.endpoint);
+  CHECK(sent[0].open_flows.empty());
+}
+
 TEST_CASE("A late grant is abandoned, a duplicate of the grant is not") {
   Driver driver;
   const uint32_t token = TokenOf(driver.Request());
