--- a/src/libs/entry/flow_scheduling.h
+++ b/src/libs/entry/flow_scheduling.h
@@ -9,7 +9,9 @@
 #include <vector>
 
 #include "cluster_state/cluster_state.h"
+#include "entry/cluster_state_codec.h"
 #include "entry/peer_socket.h"
+#include "entry/scheduling_figures.h"
 #include "scheduling/scheduling.h"
 
 namespace poplarsail::entry {
@@ -19,7 +21,8 @@
 // this host is one.
 class FlowScheduling {
  public:
-  // Executes what schedulers decide about held flows.
+  // Executes what schedulers decide about held flows. It is called from the
+  // event loop, never from within a call of this class.
   class Delegate {
    public:
     virtual ~Delegate() = default;
@@ -67,12 +70,19 @@
   void OnCompleted(const scheduling::Completion& completion);
 
   scheduling::SingleRequestDetector& detector();
+  SchedulingFigures figures() const;
 
  private:
   struct State;
-  std::unique_ptr<State> m_state;
+  // Shared with the handlers of timers, which may outlive this object.
+  std::shared_ptr<State> m_state;
 };
 
+// Floor of the binary logarithm; 0 if unknown.
+uint32_t CapacityClass(uint32_t cpu_thousandths);
+// The hosts of the own failure domain.
+std::vector<scheduling::Candidate> MakeCandidates(const FleetView& fleet);
+
 }  // namespace poplarsail::entry
 
 #endif  // ENTRY_FLOW_SCHEDULING_H_
--- /dev/null
+++ b/src/libs/entry/local_scheduler_state.h
@@ -0,0 +1,54 @@
+#ifndef ENTRY_LOCAL_SCHEDULER_STATE_H_
+#define ENTRY_LOCAL_SCHEDULER_STATE_H_
+
+#include "entry/local_schedulers.h"
+
+namespace poplarsail::entry {
+
+// A scheduler sends messages of its own accord for this long after a request.
+inline constexpr scheduling::milliseconds kActivePeriod{5'000};
+inline constexpr scheduling::milliseconds kLogInterval{1'000};
+// Requests are held for at most 1.3 s.
+inline constexpr scheduling::milliseconds kMaxWait{1'400};
+
+struct ForwardedRequest {
+  scheduling::RequestKey key;
+  scheduling::SteadyTime expiry;
+};
+
+inline scheduling::SteadyTime ExpiryOf(const ForwardedRequest& forward) {
+  return forward.expiry;
+}
+inline scheduling::SteadyTime ExpiryOf(scheduling::SteadyTime expiry) {
+  return expiry;
+}
+
+struct LocalSchedulers::Running {
+  Running(const std::string& service_name,
+          const std::string& failure_domain,
+          uint64_t seed)
+      : service(service_name), scheduler(service_name, failure_domain, seed) {}
+
+  // Whether an answer may become due at any time.
+  bool HasPending(scheduling::SteadyTime now) const;
+  void LogRefusals(scheduling::SteadyTime now);
+
+  std::string service;
+  scheduling::ServiceScheduler scheduler;
+  scheduling::SteadyTime last_request;
+  scheduling::SteadyTime last_own_request;
+  scheduling::SteadyTime last_tick;
+  scheduling::SteadyTime next_announcement;
+  scheduling::SteadyTime next_waiting_announcement;
+  scheduling::SteadyTime next_learned;
+  scheduling::SteadyTime next_log;
+  // Requests whose hosts were told that they wait, until then at most.
+  std::map<scheduling::RequestKey, scheduling::SteadyTime> waiting;
+  // By the scheduler that has to answer, and token.
+  std::map<std::pair<model::Ipv4Endpoint, uint32_t>, ForwardedRequest> forwards;
+  scheduling::SchedulerFigures logged_figures;
+};
+
+}  // namespace poplarsail::entry
+
+#endif  // ENTRY_LOCAL_SCHEDULER_STATE_H_
--- a/src/libs/entry/metrics.cc
+++ b/src/libs/entry/metrics.cc
@@ -6,6 +6,8 @@
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
+#include "entry/scheduling_metrics.h"
+
 namespace poplarsail::entry {
 
 namespace {
@@ -162,6 +164,11 @@
   families.push_back(
       Gauge("poplarsail_upstreams", "Upstreams in the cluster state.",
             static_cast<double>(cluster_state.upstreams().size())));
+  if (sources.scheduling != nullptr) {
+    for (MetricFamily& family : CollectSchedulingMetrics(*sources.scheduling)) {
+      families.push_back(std::move(family));
+    }
+  }
   return prometheus::TextSerializer().Serialize(families);
 }
 
--- a/src/libs/entry/metrics.h
+++ b/src/libs/entry/metrics.h
@@ -8,6 +8,7 @@
 #include "cluster_state/cluster_state.h"
 #include "entry/packet_loop.h"
 #include "entry/peer_exchange.h"
+#include "entry/scheduling_figures.h"
 #include "entry/state_store.h"
 #include "flows/flows.h"
 
@@ -23,6 +24,8 @@
   // Time since the last usable response of the store, by kind of objects.
   std::vector<std::pair<std::string, cluster_state::milliseconds>>
       store_response_ages;
+  // nullptr if flows are not scheduled.
+  const SchedulingFigures* scheduling = nullptr;
 };
 
 // Returns all metrics in the Prometheus text format.
--- a/src/libs/scheduling/message_codec.cc
+++ b/src/libs/scheduling/message_codec.cc
@@ -173,6 +173,9 @@
   message.free_places = reader.Unsigned32(kMaxCount);
   message.predicted_wait = reader.Duration();
   message.mean_work = reader.Duration();
+  if (!reader.IsAtEnd()) {
+    message.scheduler = reader.Endpoint();
+  }
   return message;
 }
 
--- a/src/libs/scheduling/message_codec.h
+++ b/src/libs/scheduling/message_codec.h
@@ -97,7 +97,8 @@
                          const LearnedMessage&) = default;
 };
 
-// The scheduler in an announcement is its sender.
+// The scheduler in an announcement is its sender, and not set; it is set in
+// one that another host passes on.
 using MessageBody = std::variant<PlaceMessage,
                                  GrantMessage,
                                  QueuedMessage,
--- a/src/libs/scheduling/message_encoder.cc
+++ b/src/libs/scheduling/message_encoder.cc
@@ -196,7 +196,9 @@
   }
 
   std::vector<Datagram> operator()(const Announcement& message) const {
-    return Encode(MessageType::kAnnounce, 8, [&](Packer& packer) {
+    const bool is_passed_on = message.scheduler != Ipv4Endpoint();
+    const uint32_t field_count = is_passed_on ? 10 : 8;
+    return Encode(MessageType::kAnnounce, field_count, [&](Packer& packer) {
       packer.pack(message.failure_domain);
       packer.pack(message.capacity_class);
       packer.pack(message.places);
@@ -205,6 +207,9 @@
       packer.pack(message.free_places);
       packer.pack(ToMs(message.predicted_wait));
       packer.pack(ToMs(message.mean_work));
+      if (is_passed_on) {
+        PackEndpoint(packer, message.scheduler);
+      }
     });
   }
 
--- a/src/libs/scheduling/placement_client.cc
+++ b/src/libs/scheduling/placement_client.cc
@@ -282,6 +282,10 @@
   return actions;
 }
 
+uint32_t PlacementClient::NewToken(SteadyTime now) {
+  return m_state->TakeToken(now);
+}
+
 bool PlacementClient::IsHeld(uint32_t token) const {
   return m_state->held.contains(token);
 }
--- a/src/libs/scheduling/placement_client.h
+++ b/src/libs/scheduling/placement_client.h
@@ -67,6 +67,8 @@
   ClientActions Request(const std::string& service,
                         PlacementRequest request,
                         SteadyTime now);
+  // Returns a token for a flow that is placed without a request.
+  uint32_t NewToken(SteadyTime now);
   // The client of a held SYN has sent a copy: whether it is still held.
   bool IsHeld(uint32_t token) const;
 
