--- a/src/libs/entry/flow_scheduling.cc
+++ b/src/libs/entry/flow_scheduling.cc
@@ -360,14 +360,21 @@
   switch (decision.kind) {
     case ClientActionKind::kPlace: {
       const SteadyTime now = Now();
-      if (delegate->PlaceFlow(decision.token, decision.upstream_id)) {
-        client.OnPlaced(decision.service, decision.token, decision.upstream_id,
-                        now);
+      const PlaceResult result =
+          delegate->PlaceFlow(decision.token, decision.upstream_id);
+      client.OnPlaced(decision.service, decision.token, decision.upstream_id,
+                      now);
+      if (result == PlaceResult::kPlaced) {
+        return;
+      }
+      const bool is_unusable = result == PlaceResult::kUnusableUpstream;
+      client.OnCompleted({decision.token, decision.upstream_id,
+                          is_unusable ? scheduling::Outcome::kFailed
+                                      : scheduling::Outcome::kAbandoned},
+                         now);
+      if (!is_unusable) {
         return;
       }
-      client.OnCompleted(
-          {decision.token, decision.upstream_id, scheduling::Outcome::kFailed},
-          now);
       ++counts.placed_locally_by_cause[kUnusableUpstream];
       delegate->PlaceFlowLocally(decision.token);
       return;
@@ -494,8 +501,13 @@
   m_state->ScheduleTimers();
 }
 
-scheduling::SingleRequestDetector& FlowScheduling::detector() {
-  return m_state->detector;
+void FlowScheduling::OnFlowEnded(const Ipv4Endpoint& listener,
+                                 uint32_t request_count) {
+  m_state->detector.RecordFlow(listener, request_count);
+}
+
+void FlowScheduling::OnFlowReused(const Ipv4Endpoint& listener) {
+  m_state->detector.RecordReuse(listener);
 }
 
 SchedulingFigures FlowScheduling::figures() const {
--- a/src/libs/entry/flow_scheduling.h
+++ b/src/libs/entry/flow_scheduling.h
@@ -12,6 +12,7 @@
 #include "entry/cluster_state_codec.h"
 #include "entry/peer_socket.h"
 #include "entry/scheduling_figures.h"
+#include "flows/flows.h"
 #include "scheduling/scheduling.h"
 
 namespace poplarsail::entry {
@@ -19,17 +20,23 @@
 // Connects the placement of this host's flows with the schedulers: sends and
 // receives their messages, and runs the schedulers of the services for which
 // this host is one.
-class FlowScheduling {
+class FlowScheduling : public flows::FlowScheduler {
  public:
+  enum class PlaceResult : uint8_t {
+    kPlaced,
+    // The upstream is unknown here or may not take new flows.
+    kUnusableUpstream,
+    // The flow is no longer held: its client has opened another one.
+    kUnknownFlow,
+  };
+
   // Executes what schedulers decide about held flows. It is called from the
   // event loop, never from within a call of this class.
   class Delegate {
    public:
     virtual ~Delegate() = default;
 
-    // Returns whether the flow was placed there; it was not if the upstream is
-    // unknown here or may not take new flows.
-    virtual bool PlaceFlow(uint32_t token, uint64_t upstream_id) = 0;
+    virtual PlaceResult PlaceFlow(uint32_t token, uint64_t upstream_id) = 0;
     virtual void PlaceFlowLocally(uint32_t token) = 0;
     virtual void RefuseFlow(uint32_t token,
                             scheduling::RefusalReason reason) = 0;
@@ -46,7 +53,7 @@
                  PeerSocket* socket,
                  Delegate* delegate,
                  Options options);
-  ~FlowScheduling();
+  ~FlowScheduling() override;
 
   // Call after each change of the cluster state.
   void Update(const cluster_state::ClusterState& cluster_state);
@@ -55,21 +62,20 @@
   // their own scheduler.
   void SetRemotePeers(const std::vector<model::Ipv4Endpoint>& peers);
 
-  // Whether new flows of the service are scheduled: its listeners state their
+  // flows::FlowScheduler. A service is scheduled if its listeners state their
   // terms, its upstreams their slots, and its flows carry one request each.
-  bool IsScheduled(const std::string& service) const;
-
-  // Asks for the placement of a flow and returns its token.
+  bool IsScheduled(const std::string& service) const override;
   uint32_t Request(const std::string& service,
-                   scheduling::PlacementRequest request);
-  // Returns a token for a flow that was placed without a request.
-  uint32_t NewToken();
+                   scheduling::PlacementRequest request) override;
+  uint32_t NewToken() override;
   void OnPlaced(const std::string& service,
                 uint32_t token,
-                uint64_t upstream_id);
-  void OnCompleted(const scheduling::Completion& completion);
+                uint64_t upstream_id) override;
+  void OnCompleted(const scheduling::Completion& completion) override;
+  void OnFlowEnded(const model::Ipv4Endpoint& listener,
+                   uint32_t request_count) override;
+  void OnFlowReused(const model::Ipv4Endpoint& listener) override;
 
-  scheduling::SingleRequestDetector& detector();
   SchedulingFigures figures() const;
 
  private:
--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -334,21 +334,24 @@
   }
 }
 
-bool PacketLoop::PlaceFlow(uint32_t token, uint64_t upstream_id) {
+FlowScheduling::PlaceResult PacketLoop::PlaceFlow(uint32_t token,
+                                                  uint64_t upstream_id) {
   const auto held = m_held_syns.find(token);
-  if (held == m_held_syns.end()) {
-    return false;
+  if (held == m_held_syns.end() ||
+      !m_steering->IsHeld(held->second.packet, token)) {
+    m_held_syns.erase(token);
+    return FlowScheduling::PlaceResult::kUnknownFlow;
   }
   const flows::Decision decision =
       m_steering->PlaceHeldFlow(held->second.packet, token, upstream_id,
                                 std::chrono::steady_clock::now());
   if (decision.action != flows::Action::kForward) {
-    return false;
+    return FlowScheduling::PlaceResult::kUnusableUpstream;
   }
   const HeldSyn syn = std::move(held->second);
   m_held_syns.erase(held);
   ExecuteLater(syn, decision);
-  return true;
+  return FlowScheduling::PlaceResult::kPlaced;
 }
 
 void PacketLoop::PlaceFlowLocally(uint32_t token) {
--- a/src/libs/entry/packet_loop.h
+++ b/src/libs/entry/packet_loop.h
@@ -79,7 +79,8 @@
   void Drain() { ReceivePackets(); }
 
   // FlowScheduling::Delegate:
-  bool PlaceFlow(uint32_t token, uint64_t upstream_id) override;
+  FlowScheduling::PlaceResult PlaceFlow(uint32_t token,
+                                        uint64_t upstream_id) override;
   void PlaceFlowLocally(uint32_t token) override;
   void RefuseFlow(uint32_t token, scheduling::RefusalReason reason) override;
 
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -117,6 +117,10 @@
   // Places the flows of some services, or nullptr. Outlives this object.
   void set_scheduler(FlowScheduler* scheduler) { m_scheduler = scheduler; }
 
+  // Whether the SYN still waits for the answer to the request with `token`.
+  bool IsHeld(const FlowPacket& syn, uint32_t token) {
+    return FindHeldFlow(syn, token) != nullptr;
+  }
   // Execute the scheduler's answer for the SYN that Decide kept. The decision
   // is kDrop if the SYN is no longer kept or, for a placement, if the upstream
   // is unknown or may not take new flows.
--- a/src/libs/flows/steering_placement.cc
+++ b/src/libs/flows/steering_placement.cc
@@ -213,11 +213,10 @@
 }
 
 void Steering::ReportPlacement(FlowRecord* flow, const Upstream& upstream) {
-  if (!IsScheduled(upstream.record.service)) {
-    flow->token = 0;
-    return;
-  }
   if (flow->token == 0) {
+    if (!IsScheduled(upstream.record.service)) {
+      return;
+    }
     flow->token = m_scheduler->NewToken();
   }
   m_scheduler->OnPlaced(upstream.record.service, flow->token,
