--- a/src/libs/scheduling/pool_state.cc
+++ b/src/libs/scheduling/pool_state.cc
@@ -1,6 +1,7 @@
 #include "scheduling/pool_state.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace poplarsail::scheduling {
 namespace {
@@ -14,6 +15,14 @@
 constexpr double kColdSpeedFactor = 0.45;
 // The rest of a cold upstream's rate is for hosts that place flows themselves.
 constexpr double kColdRateShare = 0.6;
+// A single SYN without a response may be a lost packet, or a host that is late
+// itself.
+constexpr uint32_t kFailureThreshold = 2;
+// Bounds the flows at an upstream whose work is far shorter than a round trip:
+// it queues some requests and rejects more.
+constexpr uint32_t kMaxPipelineFactor = 3;
+// Weight of a sample in the mean handshake time.
+constexpr double kHandshakeWeight = 0.02;
 constexpr milliseconds kMinBackOff(250);
 constexpr milliseconds kMaxBackOff(2'000);
 
@@ -47,14 +56,16 @@
       upstream = std::move(*known);
       known->running.clear();
       // A limit that was at its end stays there if the slots change.
-      if (upstream.limit > upstream.slots || upstream.limit > slots + 1)
-        upstream.limit = slots + 1;
+      const uint32_t pipeline = PipelineOf(slots);
+      if (upstream.limit > upstream.pipeline || upstream.limit > pipeline + 1)
+        upstream.limit = pipeline + 1;
     } else {
       const bool is_cold = record.cold_until > now;
-      upstream.limit = is_restarted || is_cold ? 1 : slots + 1;
+      upstream.limit = is_restarted || is_cold ? 1 : PipelineOf(slots) + 1;
     }
     upstream.record = record;
     upstream.slots = slots;
+    upstream.pipeline = PipelineOf(slots);
     index.emplace(record.id, upstreams.size());
     upstreams.push_back(std::move(upstream));
   }
@@ -86,7 +97,7 @@
   // A trial is made also beside flows that hang there.
   if (upstream.is_failed)
     return true;
-  if (upstream.running.size() >= std::min(upstream.limit, upstream.slots))
+  if (upstream.running.size() >= std::min(upstream.limit, upstream.pipeline))
     return false;
   return upstream.record.cold_until <= now || m_cold_flows_per_second <= 0 ||
          upstream.next_cold_grant <= now;
@@ -95,8 +106,8 @@
 bool PoolState::HasExtraPlace(const Upstream& upstream, SteadyTime now) const {
   return IsUsable(upstream, now) && !upstream.is_failed &&
          upstream.record.cold_until <= now &&
-         upstream.running.size() == upstream.slots &&
-         upstream.limit > upstream.slots;
+         upstream.running.size() == upstream.pipeline &&
+         upstream.limit > upstream.pipeline;
 }
 
 double PoolState::EffectiveSpeed(const Upstream& upstream,
@@ -173,6 +184,7 @@
   if (!upstream)
     return;
   const bool has_slot = upstream->running.size() < upstream->slots;
+  flow.is_granted = is_granted;
   flow.had_free_slot = is_granted && has_slot;
   if (!is_granted && !has_slot) {
     // Flows that were granted a free slot may have waited behind this one.
@@ -264,6 +276,9 @@
   Upstream* upstream = FindUpstream(flow.upstream_id);
   if (!upstream)
     return;
+  ++upstream->failure_count;
+  if (!upstream->is_failed && upstream->failure_count < kFailureThreshold)
+    return;
   // Flows granted before the last failure tell nothing new.
   if (upstream->is_failed && flow.granted <= upstream->last_failure)
     return;
@@ -281,20 +296,47 @@
   Upstream* upstream = FindUpstream(flow.upstream_id);
   if (!upstream)
     return;
+  upstream->failure_count = 0;
   if (upstream->is_failed) {
     upstream->is_failed = false;
     upstream->trial.reset();
     upstream->limit = 1;
-  } else if (upstream->limit <= upstream->slots) {
+  } else if (upstream->limit <= upstream->pipeline) {
     ++upstream->limit;
   }
+  const double transit_ms = MsBetween(flow.granted, now) - response_ms;
+  if (response_ms > 0 && transit_ms > 0 && flow.is_granted) {
+    const double handshake_ms = std::max(transit_ms - kReportMs, 0.0);
+    m_handshake_ms += kHandshakeWeight * (handshake_ms - m_handshake_ms);
+  }
   if (!flow.had_free_slot || response_ms <= 0 ||
       upstream->record.cold_until > flow.granted)
     return;
-  upstream->estimator.Add(flow.work_ms, response_ms, now);
+  upstream->estimator.Add(flow.work_ms, WorkOf(response_ms), now);
   upstream->speed = upstream->estimator.Speed(now);
 }
 
+uint32_t PoolState::PipelineOf(uint32_t slots) const {
+  if (m_mean_work_ms <= 0)
+    return slots;
+  const double flows = slots * (1 + transit_ms() / m_mean_work_ms);
+  return std::clamp(static_cast<uint32_t>(std::lround(flows)), slots,
+                    slots * kMaxPipelineFactor);
+}
+
+void PoolState::SetMeanWork(double work_ms) {
+  m_mean_work_ms = work_ms;
+  for (Upstream& upstream : m_upstreams) {
+    const uint32_t pipeline = PipelineOf(upstream.slots);
+    if (pipeline == upstream.pipeline)
+      continue;
+    const bool is_warm = upstream.limit > upstream.pipeline;
+    upstream.limit =
+        is_warm ? pipeline + 1 : std::min(upstream.limit, pipeline + 1);
+    upstream.pipeline = pipeline;
+  }
+}
+
 Capacity PoolState::CapacityAt(SteadyTime now) const {
   Capacity capacity;
   double slots = 0;
@@ -306,11 +348,13 @@
     if (upstream.is_failed)
       continue;
     const uint32_t usable = std::min(upstream.limit, upstream.slots);
-    capacity.places += upstream.slots;
+    const uint32_t usable_pipeline =
+        std::min(upstream.limit, upstream.pipeline);
+    capacity.places += upstream.pipeline;
     slots += usable;
     capacity.work_rate += usable * EffectiveSpeed(upstream, now);
     if (HasFreeSlot(upstream, now))
-      capacity.free_slots += usable - upstream.running.size();
+      capacity.free_slots += usable_pipeline - upstream.running.size();
     capacity.backlog_ms += upstream.backlog_ms;
   }
   if (slots > 0)
--- a/src/libs/scheduling/pool_state.h
+++ b/src/libs/scheduling/pool_state.h
@@ -28,8 +28,11 @@
   // When it counts as gone, whatever its host says.
   SteadyTime expires;
   double work_ms = 0;
-  // A slot was free for it, so its response time has no queueing in it.
+  // A slot was free for it when it was granted, so its response time has no
+  // queueing in it.
   bool had_free_slot = false;
+  // Granted by this scheduler, so the time of the grant is known.
+  bool is_granted = false;
 };
 
 // The capacity that is in rotation.
@@ -79,6 +82,16 @@
   void RecordResponse(const OutstandingFlow& flow,
                       double response_ms,
                       SteadyTime now);
+  // Mean time for which a granted flow occupies its place without being at a
+  // slot: the handshake, the way of the response, and the completion report.
+  double transit_ms() const { return m_handshake_ms * 2 + kReportMs; }
+  // The work in a response time, at the speed of its upstream.
+  double WorkOf(double response_ms) const {
+    return std::max(response_ms - m_handshake_ms, response_ms * kMinWorkShare);
+  }
+  // The mean work of a request, which with the transit time gives the number of
+  // flows that keep the slots of an upstream busy.
+  void SetMeanWork(double work_ms);
 
   // Refreshes speeds and the expected ends of outstanding flows.
   // `remaining_ms` maps a flow and the work done on it to the work left.
@@ -103,6 +116,11 @@
   void SeedSpeed(const SpeedRecord& record, SteadyTime now);
 
  private:
+  // Completions wait up to 5 ms for others, and are on their way.
+  static constexpr double kReportMs = 3;
+  // However long handshakes take, this share of a response is work.
+  static constexpr double kMinWorkShare = 0.25;
+
   // A request that is being worked on or waits at its upstream.
   struct Running {
     RequestKey key;
@@ -115,7 +133,9 @@
   struct Upstream {
     PoolUpstream record;
     uint32_t slots = 1;
-    // Flows that it may have now; grows up to slots plus one.
+    // Flows that keep the slots busy, including those in transit.
+    uint32_t pipeline = 1;
+    // Flows that it may have now; grows up to the pipeline plus one.
     uint32_t limit = 1;
     double speed = 1;
     SteadyTime earliest_end;
@@ -126,6 +146,8 @@
     bool is_failed = false;
     SteadyTime out_until;
     SteadyTime last_failure;
+    // Failures since the last response.
+    uint32_t failure_count = 0;
     milliseconds back_off{0};
     std::optional<RequestKey> trial;
     std::vector<Running> running;
@@ -143,6 +165,7 @@
                                       bool is_extra,
                                       bool obey_exclusions,
                                       SteadyTime now);
+  uint32_t PipelineOf(uint32_t slots) const;
   void StartNext(Upstream& upstream, SteadyTime now);
   static void UpdateForecast(Upstream& upstream);
   Upstream* FindUpstream(uint64_t id);
@@ -151,6 +174,8 @@
   std::vector<Upstream> m_upstreams;
   std::unordered_map<uint64_t, size_t> m_index;
   std::unordered_map<RequestKey, OutstandingFlow, RequestKeyHash> m_flows;
+  double m_handshake_ms = 0;
+  double m_mean_work_ms = 0;
   double m_cold_flows_per_second = 0;
   uint32_t m_domain_count = 1;
   // Predicted completions of one decision, by upstream; kept to avoid
--- a/src/libs/scheduling/service_scheduler.cc
+++ b/src/libs/scheduling/service_scheduler.cc
@@ -42,7 +42,8 @@
   if (flow->had_free_slot && response_ms > 0 &&
       !pool.IsCold(flow->upstream_id, now)) {
     listeners.Find(flow->listener)
-        .AddSample(response_ms * pool.SpeedOf(flow->upstream_id), now);
+        .AddSample(pool.WorkOf(response_ms) * pool.SpeedOf(flow->upstream_id),
+                   now);
   }
   pool.RecordResponse(*flow, response_ms, now);
 }
@@ -80,6 +81,7 @@
 void ServiceScheduler::State::Refresh(SteadyTime now) {
   listeners.Refresh(now);
   pool.SetDomainCount(1 + offers.CountLive(now));
+  pool.SetMeanWork(listeners.MeanWorkMs());
   pool.Refresh(now, [&](const OutstandingFlow& flow, double done_ms) {
     return listeners.Find(flow.listener).work.RemainingMs(done_ms, now);
   });
