--- a/tests/auto/scheduling/tst_service_scheduler.cc
+++ b/tests/auto/scheduling/tst_service_scheduler.cc
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 #include <set>
 
+#include "scheduling/listener_table.h"
+
 namespace poplarsail::scheduling {
 namespace {
 
@@ -166,6 +168,18 @@
   CHECK(Has(fixture.scheduler.Tick(At(1'300)), kRefuse, 4));
 }
 
+// Requests of a listener without long ones were refused as if it had some, or
+// long ones waited until they were late.
+TEST_CASE("Waiting requests are planned with the length of long ones") {
+  for (const bool has_tail : {false, true}) {
+    ListenerState listener({kFirst, 1, milliseconds(1'000), milliseconds(0)});
+    for (int i = 0; i < 5'000; ++i)
+      listener.AddSample(has_tail && i % 33 == 0 ? 280 : 20 + i % 40, At(i));
+    listener.Refresh(At(5'000));
+    CHECK((listener.planned_work_ms > 160) == has_tail);
+  }
+}
+
 // A target below the work itself made every request a refusal.
 TEST_CASE("Requests that never fit their target get free places") {
   Fixture fixture(1);
@@ -242,6 +256,29 @@
   CHECK(fixture.Granted(3, 10) == 0);
 }
 
+// All hosts together sent a cold upstream more than its configured rate.
+TEST_CASE("A cold upstream gets its share of the configured rate") {
+  Fixture fixture(1);
+  fixture.pool.upstreams[0].cold_until = At(5'000);
+  fixture.pool.upstreams[0].started_unix_ms = 2;
+  // Six flows per second are the schedulers', three for each of two domains.
+  fixture.pool.cold_flows_per_second = 10;
+  fixture.scheduler.UpdatePool(fixture.pool, At(0));
+  CHECK(fixture.Granted(1, 0) == 1);
+  fixture.Complete(1, 50);
+  CHECK(Has(fixture.Submit(2, 160), kQueue, 2));
+  CHECK(Has(fixture.scheduler.Tick(At(170)), kGrant, 2));
+  fixture.Announce(0, 171);
+  fixture.scheduler.Tick(At(171));
+  fixture.Complete(2, 180);
+  CHECK(Has(fixture.Submit(3, 325), kQueue, 3));
+  CHECK(Has(fixture.scheduler.Tick(At(340)), kGrant, 3));
+  fixture.Complete(3, 350);
+  CHECK(Has(fixture.Submit(4, 600), kQueue, 4));
+  CHECK_FALSE(Has(fixture.scheduler.Tick(At(660)), kGrant, 4));
+  CHECK(Has(fixture.scheduler.Tick(At(680)), kGrant, 4));
+}
+
 // Places of a host that was killed stayed taken.
 TEST_CASE("Flows of a silent host are freed after 2 s") {
   Fixture fixture(1);
