Grant late rather than never on slow pools, bound waits at admission

A target below the work at the speed of the fastest upstream in rotation made every request a refusal although the pool was idle. Requests whose predicted wait was beyond 1.3 s were held until then if their target was longer.

--- a/src/libs/scheduling/admission.cc
+++ b/src/libs/scheduling/admission.cc
@@ -38,10 +38,10 @@
   waiting.submitted = now;
   waiting.leave_by = request.first_syn + kMaxHold;
   waiting.complete_by = request.first_syn + listener.terms.latency_target;
-  // On an idle pool the fastest upstreams would be chosen.
-  if (waiting.work_ms > listener.terms.latency_target.count()) {
+  const double idle_ms = waiting.work_ms / pool.fastest_speed();
+  if (idle_ms > listener.terms.latency_target.count()) {
     waiting.is_unservable = true;
-    waiting.complete_by = After(waiting.complete_by, waiting.work_ms);
+    waiting.complete_by = After(waiting.complete_by, idle_ms);
   }
   return waiting;
 }
@@ -138,7 +138,8 @@
   const double planned_ms =
       listeners.Find(waiting.request.listener).planned_work_ms /
       capacity.mean_speed;
-  if (wait_ms + planned_ms > MsUntil(now, waiting.complete_by)) {
+  if (wait_ms + planned_ms > MsUntil(now, waiting.complete_by) ||
+      wait_ms > MsUntil(now, waiting.leave_by)) {
     Refuse(waiting, RefusalReason::kNoRoom, now);
     return;
   }
--- a/src/libs/scheduling/pool_state.h
+++ b/src/libs/scheduling/pool_state.h
@@ -1,6 +1,7 @@
 #ifndef SCHEDULING_POOL_STATE_H_
 #define SCHEDULING_POOL_STATE_H_
 
+#include <algorithm>
 #include <optional>
 #include <random>
 #include <span>
@@ -90,6 +91,8 @@
   bool Contains(uint64_t upstream_id) const;
   bool IsCold(uint64_t upstream_id, SteadyTime now) const;
   double SpeedOf(uint64_t upstream_id) const;
+  // The highest speed of an upstream in rotation, as of the last refresh.
+  double fastest_speed() const { return m_fastest_speed; }
   // Number of failure domains that share the rate of cold upstreams.
   void SetDomainCount(uint32_t count) { m_domain_count = count; }
 
@@ -151,6 +154,7 @@
   std::vector<Upstream> m_upstreams;
   std::unordered_map<uint64_t, size_t> m_index;
   std::unordered_map<RequestKey, OutstandingFlow, RequestKeyHash> m_flows;
+  double m_fastest_speed = 1;
   double m_cold_flows_per_second = 0;
   uint32_t m_domain_count = 1;
   // Predicted completions of one decision, by upstream; kept to avoid
@@ -163,9 +167,12 @@
 template <typename RemainingMs>
 void PoolState::Refresh(SteadyTime now, RemainingMs remaining_ms) {
   using Milliseconds = std::chrono::duration<double, std::milli>;
+  double fastest_speed = 0;
   for (Upstream& upstream : m_upstreams) {
     upstream.speed = upstream.estimator.Speed(now);
     const double speed = EffectiveSpeed(upstream, now);
+    if (IsUsable(upstream, now))
+      fastest_speed = std::max(fastest_speed, speed);
     for (Running& running : upstream.running) {
       if (!running.is_started || running.end > now)
         continue;
@@ -178,6 +185,7 @@
     }
     UpdateForecast(upstream);
   }
+  m_fastest_speed = fastest_speed > 0 ? fastest_speed : 1;
 }
 
 }  // namespace poplarsail::scheduling
--- a/tests/auto/scheduling/tst_service_scheduler.cc
+++ b/tests/auto/scheduling/tst_service_scheduler.cc
@@ -188,6 +188,46 @@
   learned.work.push_back({kShort, 50, 50, 60, 1'000});
   fixture.scheduler.ImportLearned(learned, At(0));
   CHECK(fixture.Granted(2, 0, kShort) == 1);
+  // Only on upstreams of usual speed would the target hold.
+  Fixture slow(1);
+  learned.work = {{kShort, 8, 8, 9, 1'000}};
+  learned.speeds = {{1, 1, 0.3, 50}};
+  slow.scheduler.ImportLearned(learned, At(0));
+  slow.scheduler.Tick(At(10));
+  CHECK(slow.Granted(1, 10, kShort) == 1);
+}
+
+// Requests were held for 1.3 s although their wait was known to be longer.
+TEST_CASE("A long target does not allow a wait beyond 1.3 s") {
+  Fixture fixture(1);
+  fixture.pool.listeners[0].latency_target = milliseconds(60'000);
+  fixture.scheduler.UpdatePool(fixture.pool, At(0));
+  uint32_t token = 1;
+  while (!Has(fixture.Submit(token, 0), kRefuse, token))
+    REQUIRE(++token < 80);
+}
+
+// The queue was full of low priorities, and high ones were refused.
+TEST_CASE("A higher priority evicts the newest request of the lowest") {
+  Fixture fixture(120);
+  LearnedMessage learned;
+  learned.work = {{kSecond, 1, 1, 1, 10'000}};
+  ServiceScheduler scheduler("s", "a", 1);
+  scheduler.UpdatePool(fixture.pool, At(0));
+  scheduler.ImportLearned(learned, At(0));
+  PlacementRequest request{{kHost, 0}, kSecond, 7, At(0), {}};
+  while (scheduler.Summary(At(0)).waiting < 4'096) {
+    ++request.key.token;
+    REQUIRE_FALSE(
+        Has(scheduler.Submit(request, At(0)), kRefuse, request.key.token));
+  }
+  const uint32_t newest = request.key.token++;
+  CHECK(Has(scheduler.Submit(request, At(0)), kRefuse, request.key.token));
+  ++request.key.token;
+  request.listener = kFirst;
+  const auto actions = scheduler.Submit(request, At(0));
+  CHECK(Has(actions, kRefuse, newest));
+  CHECK(Has(actions, kQueue, request.key.token));
 }
 
 // A copy of a request took a second place.
