Predict full upstreams without a queue directly

Change: with as many outstanding requests as slots, the wait is their minimum; RemainingMs is inline.

--- a/src/libs/load/completion_predictor.cc
+++ b/src/libs/load/completion_predictor.cc
@@ -24,6 +24,10 @@
   if (load.remaining_ms.size() < slots) {
     return 0;
   }
+  if (load.remaining_ms.size() == slots) {
+    return std::max(0.0, *std::min_element(load.remaining_ms.begin(),
+                                           load.remaining_ms.end()));
+  }
   if (slots > kMaxExactSlots) {
     return MeanWait(load);
   }
--- a/src/libs/load/work_estimator.cc
+++ b/src/libs/load/work_estimator.cc
@@ -109,10 +109,6 @@
   return result;
 }
 
-double WorkEstimator::RemainingMs(double done_ms, SteadyTime /*now*/) const {
-  return m_histogram.RemainingMs(done_ms);
-}
-
 // Applies the loss of weight since the last sample.
 void WorkEstimator::Age(SteadyTime now) {
   const double factor = Decay(m_aged_at, now, kHalfLife);
--- a/src/libs/load/work_estimator.h
+++ b/src/libs/load/work_estimator.h
@@ -43,7 +43,9 @@
   WorkEstimate Estimate(SteadyTime now) const;
   // The mean remaining work of a request whose upstream has done `done_ms` of
   // work on it so far. Takes a few nanoseconds.
-  double RemainingMs(double done_ms, SteadyTime now) const;
+  double RemainingMs(double done_ms, SteadyTime /*now*/) const {
+    return m_histogram.RemainingMs(done_ms);
+  }
 
  private:
   void Age(SteadyTime now);
