--- a/tests/auto/scheduling/tst_message_codec.cc
+++ b/tests/auto/scheduling/tst_message_codec.cc
@@ -60,6 +60,7 @@
 
 }  // namespace
 
+// Guards against fields that are lost or swapped between hosts.
 TEST_CASE("Each message type survives encoding and decoding") {
   for (const MessageBody& body : AllBodies()) {
     const SchedulingMessage message{"web", body};
--- a/tests/auto/scheduling/tst_placement_client.cc
+++ b/tests/auto/scheduling/tst_placement_client.cc
@@ -1,86 +1,12 @@
-#include "scheduling/placement_client.h"
-
-#include <catch2/catch.hpp>
-
 #include <algorithm>
 #include <map>
+#include <tuple>
 
-namespace poplarsail::scheduling {
-namespace {
-
-using Kind = ClientActionKind;
-
-const std::string kService = "web";
-// By rank: best, second, own.
-const Candidate kBest{{0x0a000001, 7000}, 12};
-const Candidate kSecond{{0x0a000002, 7000}, 11};
-const Candidate kOwn{{0x0a000003, 7000}, 10};
-
-// A client with virtual time. The test gives the answers of the schedulers.
-class Driver {
- public:
-  explicit Driver(SteadyTime start = SteadyTime(std::chrono::hours(1)))
-      : now(start) {
-    client.SetCandidates({kSecond, kBest});
-  }
-
-  ClientActions Request() {
-    return client.Request(kService, {.first_syn = now}, now);
-  }
-
-  // Advances the time from deadline to deadline.
-  ClientActions Run(int duration_ms) {
-    const SteadyTime end = now + milliseconds(duration_ms);
-    ClientActions all;
-    for (int steps = 0; steps < 100'000; ++steps) {
-      const auto next = client.NextDeadline();
-      if (!next || *next > end) {
-        now = end;
-        return all;
-      }
-      now = std::max(now, *next);
-      for (const ClientAction& action : client.Tick(now)) {
-        all.push_back(action);
-      }
-    }
-    FAIL("deadlines are due but do nothing");
-    return all;
-  }
-
-  Announcement Announce(const Candidate& scheduler) {
-    Announcement announcement{.service = kService,
-                              .scheduler = scheduler.endpoint,
-                              .capacity_class = scheduler.capacity_class};
-    client.OnAnnouncement(announcement, now);
-    return announcement;
-  }
+#include "client_driver.h"
 
-  PlacementClient client{kOwn};
-  SteadyTime now;
-};
-
-uint32_t TokenOf(const ClientActions& actions) {
-  REQUIRE(!actions.empty());
-  return actions[0].request.key.token;
-}
-
-ClientActions Only(ClientActions actions, Kind kind) {
-  std::erase_if(actions, [kind](const ClientAction& action) {
-    return action.kind != kind;
-  });
-  return actions;
-}
-
-std::vector<Ipv4Endpoint> Asked(const ClientActions& actions) {
-  std::vector<Ipv4Endpoint> asked;
-  for (const ClientAction& action : Only(actions, Kind::kSendRequest)) {
-    asked.push_back(action.scheduler);
-  }
-  return asked;
-}
-
-}  // namespace
+namespace poplarsail::scheduling {
 
+// Guards against hosts that use different schedulers, or all the same one.
 TEST_CASE("All hosts rank by capacity, then evenly by service") {
   CHECK(RankCandidates({kOwn, kBest, kSecond}, "any") ==
         std::vector{kBest, kSecond, kOwn});
@@ -100,6 +26,7 @@
   }
 }
 
+// Guards against SYNs that are held for a host that no longer runs.
 TEST_CASE("A request whose scheduler was killed goes on by rank, then local") {
   Driver driver;
   const auto first = driver.Request();
@@ -133,6 +60,7 @@
   CHECK(Asked(driver.Request()) == std::vector{kBest.endpoint});
 }
 
+// Guards against a client that waits until it gives up, without a reset.
 TEST_CASE("A queued request is held for 1.3 s after its SYN, then reset") {
   Driver driver;
   const uint32_t token = TokenOf(driver.Request());
@@ -148,6 +76,7 @@
   CHECK(reset[0].reason == RefusalReason::kNoRoom);
 }
 
+// Guards against requests held, and places taken, by a paused scheduler.
 TEST_CASE("A scheduler is paused for 5 s while requests wait there") {
   Driver driver;
   const uint32_t token = TokenOf(driver.Request());
@@ -187,18 +116,7 @@
   }
 }
 
-// Guards against places that stay taken for grants which were lost.
-TEST_CASE("A scheduler whose answer was lost gets a snapshot") {
-  Driver driver;
-  driver.Request();
-  driver.Run(60);
-  const auto sent = Only(driver.Run(3'000), Kind::kSendSnapshot);
-  REQUIRE(sent.size() == 3);
-  CHECK(sent[0].scheduler == kBest.endpoint);
-  CHECK(sent[1].scheduler == kSecond.endpoint);
-  CHECK(sent[0].open_flows.empty());
-}
-
+// Guards against places that stay taken, or are freed while in use.
 TEST_CASE("A late grant is abandoned, a duplicate of the grant is not") {
   Driver driver;
   const uint32_t token = TokenOf(driver.Request());
@@ -235,22 +153,7 @@
   CHECK_FALSE(driver.client.IsHeld(token));
 }
 
-// Guards against a place that stays taken when the granted upstream is unknown.
-TEST_CASE("A granted flow that is placed elsewhere frees its place") {
-  Driver driver;
-  const uint32_t token = TokenOf(driver.Request());
-  driver.client.OnGrant(kBest.endpoint, token, 5, driver.now);
-  driver.client.OnPlaced(kService, token, 6, driver.now);
-  const auto sent = driver.Run(5);
-  REQUIRE(sent.size() == 1);
-  CHECK(sent[0].completions ==
-        std::vector{Completion{token, 5, Outcome::kAbandoned}});
-  const auto snapshots = driver.Run(500);
-  REQUIRE(!snapshots.empty());
-  REQUIRE(snapshots[0].open_flows.size() == 1);
-  CHECK(snapshots[0].open_flows[0].upstream_id == 6);
-}
-
+// Guards against requests refused by a host that does not schedule.
 TEST_CASE("Refusals reset the client unless another scheduler is named") {
   Driver driver;
   const uint32_t token = TokenOf(driver.Request());
@@ -311,6 +214,7 @@
   CHECK(Only(driver.Run(1), Kind::kReset).size() == 1);
 }
 
+// Guards against two schedulers for hosts that know different peers.
 TEST_CASE("Hosts with different candidates converge by announcements") {
   Driver with_best;
   Driver without_best;
@@ -332,83 +236,6 @@
   CHECK(alone.client.scheduler_of(kService, alone.now) == kOwn.endpoint);
 }
 
-TEST_CASE("Completions share a datagram and go to the scheduler that granted") {
-  Driver driver;
-  const uint32_t granted = TokenOf(driver.Request());
-  driver.Run(25);
-  driver.client.OnGrant(kSecond.endpoint, granted, 5, driver.now);
-  const uint32_t local = TokenOf(driver.Request());
-  const uint32_t also_local = TokenOf(driver.Request());
-  driver.client.OnPlaced(kService, granted, 5, driver.now);
-  driver.Run(70);
-  driver.client.OnPlaced(kService, local, 6, driver.now);
-  driver.client.OnPlaced(kService, also_local, 7, driver.now);
-  driver.Run(1'000);
-  // `kBest` is no longer skipped.
-  driver.client.OnCompleted({granted, 5, Outcome::kResponded}, driver.now);
-  driver.client.OnCompleted({local, 6, Outcome::kFailed}, driver.now);
-  driver.client.OnCompleted({also_local, 7, Outcome::kResponded}, driver.now);
-  CHECK(Only(driver.Run(4), Kind::kSendCompletions).empty());
-  const auto sent = Only(driver.Run(1), Kind::kSendCompletions);
-  REQUIRE(sent.size() == 2);
-  CHECK(sent[0].scheduler == kBest.endpoint);
-  CHECK(sent[0].completions.size() == 2);
-  CHECK(sent[1].scheduler == kSecond.endpoint);
-  CHECK(sent[1].completions.size() == 1);
-}
-
-// Guards against counts that stay wrong after lost messages.
-TEST_CASE("Snapshots list open flows and end with an empty one") {
-  Driver driver;
-  const uint32_t token = TokenOf(driver.Request());
-  driver.client.OnGrant(kBest.endpoint, token, 5, driver.now);
-  driver.client.OnPlaced(kService, token, 5, driver.now);
-  auto sent = driver.Run(1'000);
-  REQUIRE(sent.size() == 2);
-  CHECK(sent[1].kind == Kind::kSendSnapshot);
-  CHECK(sent[1].scheduler == kBest.endpoint);
-  CHECK(sent[1].open_flows ==
-        std::vector{OpenFlow{token, 5, milliseconds(1'000)}});
-  driver.client.OnCompleted({token, 5, Outcome::kResponded}, driver.now);
-  sent = Only(driver.Run(3'000), Kind::kSendSnapshot);
-  REQUIRE(sent.size() == 1);
-  CHECK(sent[0].open_flows.empty());
-  // A flow that ends between two snapshots, with its completion lost.
-  const uint32_t brief = TokenOf(driver.Request());
-  driver.client.OnGrant(kBest.endpoint, brief, 5, driver.now);
-  driver.client.OnPlaced(kService, brief, 5, driver.now);
-  driver.client.OnCompleted({brief, 5, Outcome::kResponded}, driver.now);
-  CHECK(Only(driver.Run(3'000), Kind::kSendSnapshot).size() == 1);
-  // A hung flow is not listed for ever, nor kept.
-  driver.client.OnPlaced(kService, 77, 5, driver.now);
-  sent = driver.Run(65'000);
-  CHECK(std::ranges::max(sent, {},
-                         [](const ClientAction& action) {
-                           return action.open_flows.empty()
-                                      ? milliseconds(0)
-                                      : action.open_flows[0].age;
-                         })
-            .open_flows[0]
-            .age < milliseconds(60'000));
-  CHECK_FALSE(driver.client.NextDeadline());
-}
-
-// Guards against a new scheduler that takes busy upstreams for free ones.
-TEST_CASE("A new scheduler and the one that granted both get the snapshot") {
-  Driver driver;
-  const uint32_t token = TokenOf(driver.Request());
-  driver.Run(25);
-  driver.client.OnGrant(kSecond.endpoint, token, 5, driver.now);
-  driver.client.OnPlaced(kService, token, 5, driver.now);
-  driver.Run(1'400);
-  const auto sent = driver.Run(500);
-  REQUIRE(sent.size() == 2);
-  CHECK(sent[0].scheduler == kBest.endpoint);
-  CHECK(sent[1].scheduler == kSecond.endpoint);
-  CHECK(sent[0].open_flows == sent[1].open_flows);
-  CHECK(sent[0].open_flows.size() == 1);
-}
-
 // Guards against schedulers that take requests after a restart of the host for
 // copies of earlier ones.
 TEST_CASE("Tokens differ between runs of a host") {
@@ -419,6 +246,7 @@
   CHECK(distance > 1'000'000);
 }
 
+// Guards against decisions that depend on the time since boot.
 TEST_CASE("The start of the clock changes no decision") {
   const auto play = [](Driver driver) {
     const SteadyTime start = driver.now;
@@ -440,6 +268,7 @@
         play(Driver(SteadyTime(std::chrono::hours(24 * 10'000)))));
 }
 
+// Guards against unbounded memory in a SYN flood.
 TEST_CASE("Beyond 4,096 held requests flows are placed locally at once") {
   Driver driver;
   for (int i = 0; i < 4'096; ++i) {
@@ -453,23 +282,4 @@
   CHECK(driver.Request()[0].kind != Kind::kPlaceLocally);
 }
 
-TEST_CASE("Open flows and decided requests are bounded") {
-  Driver driver;
-  const uint32_t oldest = TokenOf(driver.Request());
-  // Until the silent schedulers are used again.
-  driver.Run(1'200);
-  for (uint32_t i = 1; i <= 70'000; ++i) {
-    driver.client.OnPlaced(kService, oldest + i, 5, driver.now);
-  }
-  const auto sent = Only(driver.Run(500), Kind::kSendSnapshot);
-  REQUIRE(!sent.empty());
-  CHECK(sent[0].open_flows.size() == 65'536);
-  for (uint32_t i = 1; i <= 8'192; ++i) {
-    driver.client.OnCompleted({oldest + i, 5}, driver.now);
-  }
-  driver.Run(10);
-  driver.client.OnGrant(kBest.endpoint, oldest, 5, driver.now);
-  CHECK(Only(driver.Run(10), Kind::kSendCompletions).empty());
-}
-
 }  // namespace poplarsail::scheduling
