--- a/tests/auto/entry/tst_metrics.cc
+++ b/tests/auto/entry/tst_metrics.cc
@@ -38,16 +38,28 @@
   store.era = 4;
   store.unusable_eras = 2;
   const PeerCounts peers;
+  SchedulingFigures scheduling;
+  scheduling.refused_by_reason["no-room"] = 5;
+  scheduling.schedulers = {{"tally", 12, 7, 3}};
+  scheduling.waits[{0xc6120001, 8443}].Add(90ms);
   const std::string text = FormatMetrics({&packets,
                                           &steering,
                                           &cluster_state,
                                           &store,
                                           &peers,
-                                          {{"upstreams", 2'500ms}}});
+                                          {{"upstreams", 2'500ms}},
+                                          &scheduling});
   CHECK_THAT(text,
              Contains("poplarsail_packets_total{reason=\"no-upstream\"} 7"));
   CHECK_THAT(text,
              Contains("poplarsail_store_calls_total{outcome=\"refused\"} 3"));
+  CHECK_THAT(
+      text,
+      Contains("poplarsail_scheduling_refused_total{reason=\"no-room\"} 5"));
+  CHECK_THAT(text,
+             Contains("poplarsail_scheduler_waiting{service=\"tally\"} 3"));
+  CHECK_THAT(text, Contains("poplarsail_scheduling_wait_seconds_count{listener="
+                            "\"198.18.0.1:8443\"} 1"));
   CHECK_THAT(text, Contains("poplarsail_store_era 4"));
   CHECK_THAT(text, Contains("poplarsail_store_unusable_eras_total 2"));
   CHECK_THAT(
