--- a/src/libs/scheduling/admission.cc
+++ b/src/libs/scheduling/admission.cc
@@ -11,6 +11,9 @@
 // Every 20th grant goes to the lowest waiting priority, which is this share.
 constexpr uint32_t kGrantsPerLowest = 20;
 constexpr double kMinShare = 1.0 / kGrantsPerLowest;
+// A prediction has to worsen by this share of the target before a request that
+// already waits is refused.
+constexpr double kRecheckSlack = 0.1;
 // Bounds memory; predictions keep the queue far shorter in a pool of 300
 // places.
 constexpr size_t kMaxWaiting = 4'096;
@@ -97,8 +100,8 @@
 }
 
 double ServiceScheduler::State::PredictWaitMs(const WaitingRequest& waiting,
+                                              const Capacity& capacity,
                                               SteadyTime now) const {
-  const Capacity capacity = pool.CapacityAt(now);
   if (capacity.work_rate <= 0)
     return std::numeric_limits<double>::infinity();
   const double ahead_ms =
@@ -109,35 +112,33 @@
 }
 
 void ServiceScheduler::State::Admit(WaitingRequest waiting, SteadyTime now) {
-  const Capacity capacity = pool.CapacityAt(now);
-  if (!capacity.has_usable) {
-    Refuse(waiting, RefusalReason::kNoUpstream, now);
-    return;
-  }
-  if (waiting.request.is_forwarded) {
-    // Own callers first: nothing of another domain waits or goes ahead.
-    const auto upstream_id =
-        queue.size() == 0 ? ChoosePlace(waiting, false, now) : std::nullopt;
-    if (upstream_id)
-      Grant(waiting, *upstream_id, now);
-    else
-      Refuse(waiting, RefusalReason::kNoRoom, now);
+  // The scheduler was paused, or the request was on its way for too long.
+  if (now >= waiting.leave_by) {
+    Refuse(waiting, RefusalReason::kNoRoom, now);
     return;
   }
+  // Own callers first: nothing of another domain waits or goes ahead.
+  const bool is_forwarded = waiting.request.is_forwarded;
   if (queue.size() == 0) {
-    if (const auto upstream_id = ChoosePlace(waiting, true, now)) {
+    if (const auto upstream_id = ChoosePlace(waiting, !is_forwarded, now)) {
       Grant(waiting, *upstream_id, now);
       return;
     }
   }
-  const double wait_ms = PredictWaitMs(waiting, now);
+  const Capacity capacity = pool.CapacityAt(now);
+  if (!capacity.has_usable || is_forwarded) {
+    Refuse(waiting,
+           is_forwarded ? RefusalReason::kNoRoom : RefusalReason::kNoUpstream,
+           now);
+    return;
+  }
+  const double wait_ms = PredictWaitMs(waiting, capacity, now);
   if (TryForward(waiting, wait_ms, now))
     return;
   const double planned_ms =
-      listeners.Find(waiting.request.listener).PlannedWorkMs() /
+      listeners.Find(waiting.request.listener).planned_work_ms /
       capacity.mean_speed;
-  if (wait_ms + planned_ms > MsUntil(now, waiting.complete_by) ||
-      now >= waiting.leave_by) {
+  if (wait_ms + planned_ms > MsUntil(now, waiting.complete_by)) {
     Refuse(waiting, RefusalReason::kNoRoom, now);
     return;
   }
@@ -232,7 +233,7 @@
     int skipped_count = 0;
     const auto taken =
         queue.TakeNext(lowest_first, [&](const WaitingRequest& waiting) {
-          if (skipped_count > kMaxSkipped)
+          if (skipped_count > kMaxSkipped || now >= waiting.leave_by)
             return false;
           upstream_id = ChoosePlace(waiting, true, now);
           skipped_count += upstream_id ? 0 : 1;
@@ -255,8 +256,12 @@
     if (is_new)
       rate->second = DrainRate(capacity, waiting->priority, now);
     const double wait_ms = (ahead_ms + waiting->work_ms) / rate->second;
-    const double completion_ms =
-        wait_ms + waiting->work_ms / capacity.mean_speed;
+    const ListenerState& listener = listeners.Find(waiting->request.listener);
+    const double slack_ms =
+        listener.terms.latency_target.count() * kRecheckSlack;
+    const double work_ms =
+        std::max(waiting->work_ms, listener.planned_work_ms - slack_ms);
+    const double completion_ms = wait_ms + work_ms / capacity.mean_speed;
     if (capacity.has_usable && now < waiting->leave_by &&
         completion_ms <= MsUntil(now, waiting->complete_by)) {
       ahead_ms += waiting->work_ms;
