Tick only schedulers that need it, bound what is kept for other hosts

Cause: each message asked every scheduler on this host for its figures, and hosts took a scheduler for dead between two announcements while their requests waited. Change: what waits is counted here; hosts that wait and heard nothing for 300 ms get an announcement.

--- a/src/libs/entry/local_scheduler_state.h
+++ b/src/libs/entry/local_scheduler_state.h
@@ -30,7 +30,10 @@
       : service(service_name), scheduler(service_name, failure_domain, seed) {}
 
   // Whether an answer may become due at any time.
-  bool HasPending(scheduling::SteadyTime now) const;
+  bool HasPending() const { return !forwards.empty() || !waiting.empty(); }
+  // Hosts whose requests wait and that may soon take this scheduler for dead.
+  std::vector<model::Ipv4Endpoint> SilentlyWaitingHosts(
+      scheduling::SteadyTime now) const;
   void LogRefusals(scheduling::SteadyTime now);
 
   std::string service;
@@ -39,9 +42,10 @@
   scheduling::SteadyTime last_own_request;
   scheduling::SteadyTime last_tick;
   scheduling::SteadyTime next_announcement;
-  scheduling::SteadyTime next_waiting_announcement;
   scheduling::SteadyTime next_learned;
   scheduling::SteadyTime next_log;
+  // When each host that has asked was last sent a message.
+  std::map<model::Ipv4Endpoint, scheduling::SteadyTime> last_sent;
   // Requests whose hosts were told that they wait, until then at most.
   std::map<scheduling::RequestKey, scheduling::SteadyTime> waiting;
   // By the scheduler that has to answer, and token.
--- a/src/libs/entry/local_schedulers.cc
+++ b/src/libs/entry/local_schedulers.cc
@@ -25,6 +25,8 @@
 constexpr milliseconds kUnusedLifetime{60'000};
 constexpr milliseconds kLearnedLifetime{30'000};
 constexpr size_t kMaxStoredLearned = 64;
+// Listeners in messages need not be configured.
+constexpr size_t kMaxListeners = 256;
 // Longer than the scheduler waits for the answer to a forwarded request.
 constexpr milliseconds kForwardLifetime{70};
 constexpr milliseconds kWaitingTick{10};
@@ -56,6 +58,11 @@
 }
 
 void LocalSchedulers::UpdatePools(SteadyTime now) {
+  const auto has_no_pool = [this](const auto& item) {
+    return m_pools->Find(item.first) == nullptr;
+  };
+  std::erase_if(m_better, has_no_pool);
+  std::erase_if(m_learned, has_no_pool);
   std::vector<std::string> unusable;
   for (const auto& [service, running] : m_running) {
     if (const scheduling::Pool* pool = m_pools->Find(service)) {
@@ -178,6 +185,7 @@
                               const Ipv4Endpoint& forwarder) {
   for (const SchedulerAction& action : actions) {
     const RequestKey& key = action.request;
+    running.last_sent[key.host] = now;
     const bool is_forwarded = forwarder != Ipv4Endpoint() && key == forwarded;
     switch (action.kind) {
       case SchedulerActionKind::kGrant: {
@@ -338,34 +346,6 @@
   return true;
 }
 
-void LocalSchedulers::HandOver(SteadyTime now) {
-  for (const auto& [service, running] : m_running) {
-    HandOverWaiting(service, *running, now);
-  }
-}
-
-void LocalSchedulers::HandOverWaiting(const std::string& service,
-                                      Running& running,
-                                      SteadyTime now) {
-  const auto waiting = std::exchange(running.waiting, {});
-  const auto ranked = scheduling::RankCandidates(m_candidates, service);
-  const Better* better = FindBetter(service, now);
-  std::optional<Ipv4Endpoint> other;
-  if (better != nullptr) {
-    other = better->candidate.endpoint;
-  } else if (!ranked.empty()) {
-    other = ranked[0].endpoint;
-  }
-  for (const auto& [key, expiry] : waiting) {
-    // A message must name the other scheduler.
-    if (other || key.host == m_own.endpoint) {
-      m_send(key.host,
-             {service, scheduling::RefuseMessage{
-                           key.token, RefusalReason::kUseOther, other, {}}});
-    }
-  }
-}
-
 bool LocalSchedulers::IsDroppable(const std::string& service,
                                   const Running& running,
                                   SteadyTime now) const {
@@ -380,7 +360,11 @@
 void LocalSchedulers::Tick(SteadyTime now) {
   std::vector<std::string> droppable;
   for (const auto& [service, running] : m_running) {
-    TickOne(service, *running, now);
+    const bool is_due = running->HasPending() ||
+                        running->last_tick + kIdleTick <= now + kWaitingTick;
+    if (is_due) {
+      TickOne(service, *running, now);
+    }
     if (IsDroppable(service, *running, now)) {
       droppable.push_back(service);
     }
@@ -403,7 +387,9 @@
   std::erase_if(running.waiting, is_over);
   running.LogRefusals(now);
   for (const scheduling::RecordedWait& wait : running.scheduler.TakeWaits()) {
-    m_waits[wait.listener].Add(wait.wait);
+    if (m_waits.size() < kMaxListeners || m_waits.contains(wait.listener)) {
+      m_waits[wait.listener].Add(wait.wait);
+    }
   }
   if (running.last_request + kActivePeriod > now) {
     Announce(running, now);
@@ -415,7 +401,7 @@
     SteadyTime now) const {
   std::optional<milliseconds> interval;
   for (const auto& [service, running] : m_running) {
-    if (running->HasPending(now)) {
+    if (running->HasPending()) {
       return kWaitingTick;
     }
     if (running->last_request + kActivePeriod > now) {
--- a/src/libs/entry/scheduler_reports.cc
+++ b/src/libs/entry/scheduler_reports.cc
@@ -17,7 +17,7 @@
 constexpr size_t kAnnouncementBytesPerSecond = 4'000;
 constexpr size_t kDatagramHeaderBytes = 28;
 // Hosts leave a scheduler at which their requests wait after 500 ms of silence.
-constexpr milliseconds kWaitingAnnouncementInterval{200};
+constexpr milliseconds kMaxSilence{300};
 // Ticks are 250 ms apart; what is due a little later is sent at once.
 constexpr milliseconds kTickTolerance{50};
 constexpr milliseconds kLearnedInterval{1'000};
@@ -37,15 +37,14 @@
 
 }  // namespace
 
-bool LocalSchedulers::Running::HasPending(SteadyTime now) const {
-  return !forwards.empty() || scheduler.Summary(now).waiting > 0;
-}
-
 void LocalSchedulers::Running::LogRefusals(SteadyTime now) {
   if (now < next_log) {
     return;
   }
   next_log = now + kLogInterval;
+  std::erase_if(last_sent, [now](const auto& item) {
+    return item.second + kLogInterval <= now;
+  });
   const scheduling::SchedulerFigures figures = scheduler.figures();
   for (const auto& [priority, counts] : figures.by_priority) {
     auto& logged = logged_figures.by_priority[priority].refused;
@@ -93,20 +92,26 @@
                   milliseconds(bytes * 1'000 / kAnnouncementBytesPerSecond));
 }
 
-void LocalSchedulers::Announce(Running& running, SteadyTime now) {
-  std::vector<Ipv4Endpoint> receivers;
-  const bool is_due = running.next_announcement <= now + kTickTolerance;
-  if (is_due) {
-    receivers = AnnouncementReceivers();
-  } else if (running.next_waiting_announcement <= now) {
-    for (const auto& [key, expiry] : running.waiting) {
-      // The keys are ordered by host.
-      const bool is_new = receivers.empty() || receivers.back() != key.host;
-      if (is_new && key.host != m_own.endpoint) {
-        receivers.push_back(key.host);
-      }
+std::vector<Ipv4Endpoint> LocalSchedulers::Running::SilentlyWaitingHosts(
+    SteadyTime now) const {
+  std::vector<Ipv4Endpoint> hosts;
+  for (const auto& [key, expiry] : waiting) {
+    // The keys are ordered by host.
+    const bool is_known = !hosts.empty() && hosts.back() == key.host;
+    const auto sent = last_sent.find(key.host);
+    const bool is_silent =
+        sent == last_sent.end() || sent->second + kMaxSilence <= now;
+    if (!is_known && is_silent) {
+      hosts.push_back(key.host);
     }
   }
+  return hosts;
+}
+
+void LocalSchedulers::Announce(Running& running, SteadyTime now) {
+  const bool is_due = running.next_announcement <= now + kTickTolerance;
+  const std::vector<Ipv4Endpoint> receivers =
+      is_due ? AnnouncementReceivers() : running.SilentlyWaitingHosts(now);
   if (!is_due && receivers.empty()) {
     return;
   }
@@ -118,9 +123,11 @@
     const size_t bytes = scheduling::EncodeMessage(message).front().size();
     running.next_announcement = now + AnnouncementInterval(bytes, now);
   }
-  running.next_waiting_announcement = now + kWaitingAnnouncementInterval;
   for (const Ipv4Endpoint& receiver : receivers) {
-    m_send(receiver, message);
+    running.last_sent[receiver] = now;
+    if (receiver != m_own.endpoint) {
+      m_send(receiver, message);
+    }
   }
 }
 
@@ -143,4 +150,33 @@
   }
 }
 
+void LocalSchedulers::HandOver(SteadyTime now) {
+  for (const auto& [service, running] : m_running) {
+    HandOverWaiting(service, *running, now);
+  }
+}
+
+void LocalSchedulers::HandOverWaiting(const std::string& service,
+                                      Running& running,
+                                      SteadyTime now) {
+  const auto waiting = std::exchange(running.waiting, {});
+  const auto ranked = scheduling::RankCandidates(m_candidates, service);
+  const Better* better = FindBetter(service, now);
+  std::optional<Ipv4Endpoint> other;
+  if (better != nullptr) {
+    other = better->candidate.endpoint;
+  } else if (!ranked.empty()) {
+    other = ranked[0].endpoint;
+  }
+  for (const auto& [key, expiry] : waiting) {
+    // A message must name the other scheduler.
+    if (other || key.host == m_own.endpoint) {
+      m_send(key.host,
+             {service,
+              scheduling::RefuseMessage{
+                  key.token, scheduling::RefusalReason::kUseOther, other, {}}});
+    }
+  }
+}
+
 }  // namespace poplarsail::entry
--- a/tests/auto/scheduling/tst_message_codec.cc
+++ b/tests/auto/scheduling/tst_message_codec.cc
@@ -39,6 +39,8 @@
                             .free_places = 1,
                             .predicted_wait = milliseconds(40),
                             .mean_work = milliseconds(22)};
+  Announcement passed_on = announcement;
+  passed_on.scheduler = kHost;
   return {
       PlaceMessage{7, kListener, 9, milliseconds(3), {1, UINT64_MAX}, {}},
       PlaceMessage{7, kListener, 9, milliseconds(3), {}, kHost},
@@ -53,6 +55,7 @@
       SnapshotMessage{1, 3, {{1, 2, milliseconds(22)}}},
       SnapshotMessage{},
       announcement,
+      passed_on,
       LearnedMessage{{{1, 1'700'000'000'000, 0.55, 12.5}},
                      {{kListener, 22, 20, 150, 40}}},
   };
