--- a/src/libs/scheduling/admission.cc
+++ b/src/libs/scheduling/admission.cc
@@ -37,7 +37,8 @@
   waiting.work_ms = listener.estimate.mean_ms;
   waiting.submitted = now;
   waiting.leave_by = request.first_syn + kMaxHold;
-  waiting.complete_by = request.first_syn + listener.terms.latency_target;
+  waiting.complete_by = After(request.first_syn + listener.terms.latency_target,
+                              -pool.transit_ms());
   const double idle_ms = waiting.work_ms / pool.fastest_speed();
   if (idle_ms > listener.terms.latency_target.count()) {
     waiting.is_unservable = true;
