Compare completions with the capacity, allow for errors of the mean

The rate of completions now corrects the capacity, and long requests are planned with 8.5 times the mean until their length is known.

--- a/src/libs/scheduling/admission.cc
+++ b/src/libs/scheduling/admission.cc
@@ -95,8 +95,9 @@
 double ServiceScheduler::State::DrainRate(const Capacity& capacity,
                                           uint32_t priority,
                                           SteadyTime now) const {
-  return std::max(capacity.work_rate - listeners.DemandAbove(priority, now),
-                  capacity.work_rate * kMinShare);
+  const double work_rate = capacity.work_rate * drain.factor();
+  return std::max(work_rate - listeners.DemandAbove(priority, now),
+                  work_rate * kMinShare);
 }
 
 double ServiceScheduler::State::PredictWaitMs(const WaitingRequest& waiting,
@@ -111,6 +112,15 @@
   return ahead_ms / DrainRate(capacity, waiting.priority, now);
 }
 
+double ServiceScheduler::State::PlannedWorkMs(const WaitingRequest& waiting) {
+  const ListenerState& listener = listeners.Find(waiting.request.listener);
+  // Slow completions show that requests are longer than estimated.
+  const double work_ms =
+      listener.planned_work_ms / std::min(drain.factor(), 1.0);
+  return std::min(work_ms, std::max(listener.planned_work_ms,
+                                    listener.max_planned_work_ms()));
+}
+
 void ServiceScheduler::State::Admit(WaitingRequest waiting, SteadyTime now) {
   // The scheduler was paused, or the request was on its way for too long.
   if (now >= waiting.leave_by) {
@@ -135,9 +145,7 @@
   const double wait_ms = PredictWaitMs(waiting, capacity, now);
   if (TryForward(waiting, wait_ms, now))
     return;
-  const double planned_ms =
-      listeners.Find(waiting.request.listener).planned_work_ms /
-      capacity.mean_speed;
+  const double planned_ms = PlannedWorkMs(waiting) / capacity.mean_speed;
   if (wait_ms + planned_ms > MsUntil(now, waiting.complete_by) ||
       wait_ms > MsUntil(now, waiting.leave_by)) {
     Refuse(waiting, RefusalReason::kNoRoom, now);
@@ -261,7 +269,7 @@
     const double slack_ms =
         listener.terms.latency_target.count() * kRecheckSlack;
     const double work_ms =
-        std::max(waiting->work_ms, listener.planned_work_ms - slack_ms);
+        std::max(waiting->work_ms, PlannedWorkMs(*waiting) - slack_ms);
     const double completion_ms = wait_ms + work_ms / capacity.mean_speed;
     if (capacity.has_usable && now < waiting->leave_by &&
         completion_ms <= MsUntil(now, waiting->complete_by)) {
--- a/src/libs/scheduling/listener_table.cc
+++ b/src/libs/scheduling/listener_table.cc
@@ -14,9 +14,10 @@
 // Requests may wait for a quarter of their target even if some of them need
 // nearly all of it.
 constexpr double kMaxPlannedShare = 0.75;
-// The longest 5 % of requests take this many times the mean, until enough
-// samples show their length. Under overload few responses are samples.
-constexpr double kPriorTail = 7;
+// The longest requests take 7 times the mean, until enough samples show their
+// length; a fifth more covers the error of a mean from few samples. Under
+// overload few responses are samples.
+constexpr double kPriorTail = 8.5;
 constexpr double kPriorTailSamples = 200;
 // Long enough for a steady rate, short enough to refuse within 100 ms when a
 // burst begins.
@@ -51,10 +52,13 @@
   const double tail_ms = (learned_ms * estimate.samples +
                           estimate.mean_ms * kPriorTail * kPriorTailSamples) /
                          (estimate.samples + kPriorTailSamples);
-  const double target_ms = terms.latency_target.count();
   planned_work_ms =
       std::clamp(tail_ms, estimate.mean_ms,
-                 std::max(estimate.mean_ms, target_ms * kMaxPlannedShare));
+                 std::max(estimate.mean_ms, max_planned_work_ms()));
+}
+
+double ListenerState::max_planned_work_ms() const {
+  return terms.latency_target.count() * kMaxPlannedShare;
 }
 
 SteadyTime ListenerState::Expiry(SteadyTime granted) const {
--- a/src/libs/scheduling/listener_table.h
+++ b/src/libs/scheduling/listener_table.h
@@ -17,6 +17,7 @@
   // it was probably an error.
   void AddSample(double work_ms, SteadyTime now);
   void Refresh(SteadyTime now);
+  double max_planned_work_ms() const;
   SteadyTime Expiry(SteadyTime granted) const;
 
   ListenerTerms terms;
--- a/src/libs/scheduling/pool_state.cc
+++ b/src/libs/scheduling/pool_state.cc
@@ -303,6 +303,7 @@
     if (!upstream.record.accepts_new_flows)
       continue;
     capacity.has_usable |= IsUsable(upstream, now);
+    capacity.has_cold |= upstream.record.cold_until > now;
     if (upstream.is_failed)
       continue;
     const uint32_t usable = std::min(upstream.limit, upstream.slots);
--- a/src/libs/scheduling/pool_state.h
+++ b/src/libs/scheduling/pool_state.h
@@ -44,6 +44,8 @@
   // Work that waits at upstreams beyond their slots.
   double backlog_ms = 0;
   bool has_usable = false;
+  // Some upstreams take flows at a limited rate.
+  bool has_cold = false;
 };
 
 // What a request needs of a place.
--- a/src/libs/scheduling/scheduler_state.h
+++ b/src/libs/scheduling/scheduler_state.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "scheduling/drain_meter.h"
 #include "scheduling/fair_queue.h"
 #include "scheduling/listener_table.h"
 #include "scheduling/pool_state.h"
@@ -52,6 +53,7 @@
   double PredictWaitMs(const WaitingRequest& waiting,
                        const Capacity& capacity,
                        SteadyTime now) const;
+  double PlannedWorkMs(const WaitingRequest& waiting);
   void Admit(WaitingRequest waiting, SteadyTime now);
   void Enqueue(WaitingRequest waiting, SteadyTime now);
   bool TryForward(WaitingRequest& waiting, double wait_ms, SteadyTime now);
@@ -79,6 +81,7 @@
   PoolState pool;
   FairQueue queue;
   ListenerTable listeners;
+  DrainMeter drain;
   SpillOffers offers;
   RecentAnswers answers;
   std::unordered_map<RequestKey, Forward, RequestKeyHash> forwards;
--- a/src/libs/scheduling/service_scheduler.cc
+++ b/src/libs/scheduling/service_scheduler.cc
@@ -31,6 +31,7 @@
     flow->upstream_id = completion.upstream_id;
     flow->granted = now;
   }
+  drain.RecordCompletion(flow->work_ms);
   SchedulerAction answer = MakeAction(SchedulerActionKind::kGrant, key);
   answer.upstream_id = flow->upstream_id;
   answers.Record(answer, now);
@@ -189,6 +190,9 @@
 
 SchedulerActions ServiceScheduler::Tick(SteadyTime now) {
   m_state->Refresh(now);
+  const Capacity capacity = m_state->pool.CapacityAt(now);
+  m_state->drain.Tick(m_state->queue.size() > 0 && !capacity.has_cold,
+                      capacity.work_rate, now);
   m_state->Sweep(now);
   m_state->ReturnForwards(now);
   m_state->GrantWaiting(now);
--- a/tests/auto/scheduling/scheduler_replay.h
+++ b/tests/auto/scheduling/scheduler_replay.h
@@ -42,10 +42,13 @@
 class Replay {
  public:
   // Work has a tail of 7 times the mean at 3 %, or else is exponential.
-  explicit Replay(size_t upstream_count, bool has_tail = true)
-      : m_scheduler("s", "a", 7),
+  explicit Replay(size_t upstream_count,
+                  bool has_tail = true,
+                  uint64_t seed = 11)
+      : m_scheduler("s", "a", seed),
         m_upstreams(upstream_count),
-        m_has_tail(has_tail) {
+        m_has_tail(has_tail),
+        m_random(seed) {
     pool.service = "s";
     pool.failure_domain = "a";
     for (size_t i = 0; i < upstream_count; ++i)
@@ -198,7 +201,7 @@
   std::multimap<double, std::function<void()>> m_events;
   std::map<uint32_t, double> m_reached;
   double m_now = 0;
-  std::mt19937_64 m_random{11};
+  std::mt19937_64 m_random;
 };
 
 }  // namespace poplarsail::scheduling
--- a/tests/auto/scheduling/tst_service_scheduler_load.cc
+++ b/tests/auto/scheduling/tst_service_scheduler_load.cc
@@ -83,11 +83,13 @@
 // Demand at twice the capacity: upstreams shed, and priority 1 was refused as
 // often as priority 2.
 TEST_CASE("Overload serves priority 1 and loses no capacity") {
-  Replay replay(kUpstreamCount);
+  // The first responses are the only samples of work, so seeds differ much.
+  const uint64_t seed = GENERATE(range(1, 22));
+  Replay replay(kUpstreamCount, true, seed);
   replay.Run({MakeCaller(81, 1, 0.6), MakeCaller(82, 2, 1.4)}, 8'000);
   const Totals all = Count(replay, std::nullopt);
   const Totals first = Count(replay, 0);
-  CAPTURE(Goodput(all), first.SuccessRate(), all.sheds, first.refused);
+  CAPTURE(seed, Goodput(all), first.SuccessRate(), all.sheds, first.refused);
   CHECK(Goodput(all) >= 0.95);
   CHECK(first.SuccessRate() >= 0.98);
   CHECK(all.sheds < 0.01 * all.count);
