Offer free capacity to other domains as a rate, spread over equal upstreams

Cause: a free place counted once for each announcement of 500 ms, although it serves some twenty requests in that time, and noise in learned speeds sent most flows to a few upstreams.

--- a/src/libs/scheduling/pool_state.cc
+++ b/src/libs/scheduling/pool_state.cc
@@ -9,8 +9,9 @@
 using std::chrono::duration_cast;
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
-// Predictions closer than this are equal: their error is larger.
-constexpr double kTieFactor = 1.15;
+// Predictions closer than this are equal: their error is larger. Else the
+// upstreams whose learned speed is high by chance get most of the flows.
+constexpr double kTieFactor = 1.4;
 // Cold upstreams are slower by a factor of 1.6 to 3.
 constexpr double kColdSpeedFactor = 0.45;
 // The rest of a cold upstream's rate is for hosts that place flows themselves.
--- a/src/libs/scheduling/spill.cc
+++ b/src/libs/scheduling/spill.cc
@@ -10,10 +10,22 @@
 }  // namespace
 
 void SpillOffers::Record(const Announcement& announcement, SteadyTime now) {
-  m_offers[announcement.failure_domain] = {announcement,
+  m_offers[announcement.failure_domain] = {announcement, now,
                                            now + kAnnouncementLife, 0};
 }
 
+uint32_t SpillOffers::Allowance(const Offer& offer,
+                                uint32_t domain_count,
+                                SteadyTime now) {
+  const std::chrono::duration<double, std::milli> age = now - offer.announced;
+  const double work_ms = std::max<double>(
+      static_cast<double>(offer.announcement.mean_work.count()), 1);
+  // The other domains that may forward there: all but itself, this one too.
+  const double share = offer.announcement.free_places *
+                       (1 + age.count() / work_ms) / std::max(domain_count, 1U);
+  return static_cast<uint32_t>(std::max(share - offer.forwarded, 0.0));
+}
+
 std::optional<Ipv4Endpoint> SpillOffers::Take(double wait_ms, SteadyTime now) {
   const uint32_t domain_count = CountLive(now);
   Offer* best = nullptr;
@@ -25,13 +37,11 @@
         offer.announcement.predicted_wait + kDomainRoundTrip;
     if (offered_wait.count() >= wait_ms)
       continue;
-    // The other domains that may forward there: all but itself, this one too.
-    const uint32_t share =
-        offer.announcement.free_places / std::max(domain_count, 1U);
-    if (share <= offer.forwarded || share - offer.forwarded <= best_left)
+    const uint32_t left = Allowance(offer, domain_count, now);
+    if (left <= best_left)
       continue;
     best = &offer;
-    best_left = share - offer.forwarded;
+    best_left = left;
   }
   if (!best)
     return std::nullopt;
--- a/src/libs/scheduling/spill.h
+++ b/src/libs/scheduling/spill.h
@@ -27,8 +27,16 @@
   uint32_t CountLive(SteadyTime now) const;
 
  private:
+  struct Offer;
+  // Requests that this domain may still forward there. A free place serves one
+  // request after the other, so the number grows with the announcement's age.
+  static uint32_t Allowance(const Offer& offer,
+                            uint32_t domain_count,
+                            SteadyTime now);
+
   struct Offer {
     Announcement announcement;
+    SteadyTime announced;
     // The announcement counts until then.
     SteadyTime valid_until;
     uint32_t forwarded = 0;
