--- a/src/libs/scheduling/listener_table.cc
+++ b/src/libs/scheduling/listener_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace poplarsail::scheduling {
 namespace {
@@ -125,6 +126,10 @@
   return work_ms / m_demand_decay_ms;
 }
 
+double ListenerTable::TotalDemand(SteadyTime now) const {
+  return DemandAbove(std::numeric_limits<uint32_t>::max(), now);
+}
+
 double ListenerTable::MeanWorkMs() const {
   double weighted_ms = 0;
   double weight = 0;
--- a/src/libs/scheduling/listener_table.h
+++ b/src/libs/scheduling/listener_table.h
@@ -45,6 +45,7 @@
   void RecordDemand(uint32_t priority, double work_ms, SteadyTime now);
   // Milliseconds of work that arrive per millisecond for higher priorities.
   double DemandAbove(uint32_t priority, SteadyTime now) const;
+  double TotalDemand(SteadyTime now) const;
 
   double MeanWorkMs() const;
   std::vector<LearnedWork> Learned(SteadyTime now) const;
--- a/src/libs/scheduling/pool_state.cc
+++ b/src/libs/scheduling/pool_state.cc
@@ -57,16 +57,17 @@
       upstream = std::move(*known);
       known->running.clear();
       // A limit that was at its end stays there if the slots change.
-      const uint32_t pipeline = PipelineOf(slots);
+      const uint32_t pipeline = PipelineOf(slots, upstream.speed);
       if (upstream.limit > upstream.pipeline || upstream.limit > pipeline + 1)
         upstream.limit = pipeline + 1;
     } else {
       const bool is_cold = record.cold_until > now;
-      upstream.limit = is_restarted || is_cold ? 1 : PipelineOf(slots) + 1;
+      upstream.limit =
+          is_restarted || is_cold ? 1 : PipelineOf(slots, upstream.speed) + 1;
     }
     upstream.record = record;
     upstream.slots = slots;
-    upstream.pipeline = PipelineOf(slots);
+    upstream.pipeline = PipelineOf(slots, upstream.speed);
     index.emplace(record.id, upstreams.size());
     upstreams.push_back(std::move(upstream));
   }
@@ -317,18 +318,19 @@
   upstream->speed = upstream->estimator.Speed(now);
 }
 
-uint32_t PoolState::PipelineOf(uint32_t slots) const {
+uint32_t PoolState::PipelineOf(uint32_t slots, double speed) const {
   if (m_mean_work_ms <= 0)
     return slots;
-  const double flows = slots * (1 + transit_ms() / m_mean_work_ms);
-  return std::clamp(static_cast<uint32_t>(std::lround(flows)), slots,
-                    slots * kMaxPipelineFactor);
+  // An upstream's slots idle while its next requests are in transit.
+  const double in_transit = slots * transit_ms() * speed / m_mean_work_ms;
+  return slots + std::min(static_cast<uint32_t>(std::ceil(in_transit)),
+                          slots * (kMaxPipelineFactor - 1));
 }
 
 void PoolState::SetMeanWork(double work_ms) {
   m_mean_work_ms = work_ms;
   for (Upstream& upstream : m_upstreams) {
-    const uint32_t pipeline = PipelineOf(upstream.slots);
+    const uint32_t pipeline = PipelineOf(upstream.slots, upstream.speed);
     if (pipeline == upstream.pipeline)
       continue;
     const bool is_warm = upstream.limit > upstream.pipeline;
--- a/src/libs/scheduling/pool_state.h
+++ b/src/libs/scheduling/pool_state.h
@@ -170,7 +170,7 @@
                                       bool is_extra,
                                       bool obey_exclusions,
                                       SteadyTime now);
-  uint32_t PipelineOf(uint32_t slots) const;
+  uint32_t PipelineOf(uint32_t slots, double speed) const;
   void StartNext(Upstream& upstream, SteadyTime now);
   static void UpdateForecast(Upstream& upstream);
   Upstream* FindUpstream(uint64_t id);
--- a/src/libs/scheduling/service_scheduler.cc
+++ b/src/libs/scheduling/service_scheduler.cc
@@ -210,7 +210,10 @@
   summary.places = capacity.places;
   summary.outstanding = capacity.outstanding;
   summary.waiting = m_state->queue.size();
-  summary.free_places = summary.waiting > 0 ? 0 : capacity.free_slots;
+  // What own callers leave over. The slots that are free at this moment change
+  // many times until the next announcement.
+  const double spare = capacity.work_rate - m_state->listeners.TotalDemand(now);
+  summary.free_places = static_cast<uint32_t>(std::max(spare, 0.0));
   const double mean_ms = m_state->listeners.MeanWorkMs();
   summary.mean_work = milliseconds(std::llround(mean_ms));
   if (summary.free_places == 0 && capacity.work_rate > 0) {
--- a/src/libs/scheduling/spill.cc
+++ b/src/libs/scheduling/spill.cc
@@ -31,7 +31,7 @@
   Offer* best = nullptr;
   uint32_t best_left = 0;
   for (auto& [domain, offer] : m_offers) {
-    if (now > offer.valid_until || offer.announcement.waiting > 0)
+    if (now > offer.valid_until)
       continue;
     const milliseconds offered_wait =
         offer.announcement.predicted_wait + kDomainRoundTrip;
