Assume longer requests until samples show their length

The share of the target that may be planned now limits the time on slow upstreams too, as a cold pool would otherwise have refused every request that has to wait.

--- a/src/libs/scheduling/admission.cc
+++ b/src/libs/scheduling/admission.cc
@@ -13,7 +13,7 @@
 constexpr double kMinShare = 1.0 / kGrantsPerLowest;
 // A prediction has to worsen by this share of the target before a request that
 // already waits is refused.
-constexpr double kRecheckSlack = 0.1;
+constexpr double kRecheckSlack = 0.15;
 // Bounds memory; predictions keep the queue far shorter in a pool of 300
 // places.
 constexpr size_t kMaxWaiting = 4'096;
@@ -112,13 +112,14 @@
   return ahead_ms / DrainRate(capacity, waiting.priority, now);
 }
 
-double ServiceScheduler::State::PlannedWorkMs(const WaitingRequest& waiting) {
+double ServiceScheduler::State::PlannedMs(const WaitingRequest& waiting,
+                                          double speed) {
   const ListenerState& listener = listeners.Find(waiting.request.listener);
   // Slow completions show that requests are longer than estimated.
-  const double work_ms =
-      listener.planned_work_ms / std::min(drain.factor(), 1.0);
-  return std::min(work_ms, std::max(listener.planned_work_ms,
-                                    listener.max_planned_work_ms()));
+  const double planned_ms =
+      listener.planned_work_ms / std::min(drain.factor(), 1.0) / speed;
+  return std::min(planned_ms, std::max(waiting.work_ms / speed,
+                                       listener.max_planned_work_ms()));
 }
 
 void ServiceScheduler::State::Admit(WaitingRequest waiting, SteadyTime now) {
@@ -145,7 +146,7 @@
   const double wait_ms = PredictWaitMs(waiting, capacity, now);
   if (TryForward(waiting, wait_ms, now))
     return;
-  const double planned_ms = PlannedWorkMs(waiting) / capacity.mean_speed;
+  const double planned_ms = PlannedMs(waiting, capacity.mean_speed);
   if (wait_ms + planned_ms > MsUntil(now, waiting.complete_by) ||
       wait_ms > MsUntil(now, waiting.leave_by)) {
     Refuse(waiting, RefusalReason::kNoRoom, now);
@@ -268,9 +269,10 @@
     const ListenerState& listener = listeners.Find(waiting->request.listener);
     const double slack_ms =
         listener.terms.latency_target.count() * kRecheckSlack;
-    const double work_ms =
-        std::max(waiting->work_ms, PlannedWorkMs(*waiting) - slack_ms);
-    const double completion_ms = wait_ms + work_ms / capacity.mean_speed;
+    const double planned_ms =
+        std::max(waiting->work_ms / capacity.mean_speed,
+                 PlannedMs(*waiting, capacity.mean_speed) - slack_ms);
+    const double completion_ms = wait_ms + planned_ms;
     if (capacity.has_usable && now < waiting->leave_by &&
         completion_ms <= MsUntil(now, waiting->complete_by)) {
       ahead_ms += waiting->work_ms;
--- a/src/libs/scheduling/listener_table.cc
+++ b/src/libs/scheduling/listener_table.cc
@@ -15,9 +15,9 @@
 // nearly all of it.
 constexpr double kMaxPlannedShare = 0.75;
 // The longest requests take 7 times the mean, until enough samples show their
-// length; a fifth more covers the error of a mean from few samples. Under
-// overload few responses are samples.
-constexpr double kPriorTail = 8.5;
+// length; 10 covers the error of a mean from few samples. Under overload few
+// responses are samples.
+constexpr double kPriorTail = 10;
 constexpr double kPriorTailSamples = 200;
 // Long enough for a steady rate, short enough to refuse within 100 ms when a
 // burst begins.
--- a/src/libs/scheduling/scheduler_state.h
+++ b/src/libs/scheduling/scheduler_state.h
@@ -53,7 +53,8 @@
   double PredictWaitMs(const WaitingRequest& waiting,
                        const Capacity& capacity,
                        SteadyTime now) const;
-  double PlannedWorkMs(const WaitingRequest& waiting);
+  // How long a waiting request is planned to take once it has a slot.
+  double PlannedMs(const WaitingRequest& waiting, double speed);
   void Admit(WaitingRequest waiting, SteadyTime now);
   void Enqueue(WaitingRequest waiting, SteadyTime now);
   bool TryForward(WaitingRequest& waiting, double wait_ms, SteadyTime now);
