--- a/tests/auto/entry/tst_flow_scheduling.cc
+++ b/tests/auto/entry/tst_flow_scheduling.cc
@@ -141,8 +141,6 @@
   Host host(&context, 2, 1);
   Connect({&scheduler, &host}, MakeClusterState({{1}}));
   const uint32_t token = host.Request();
-  // A decision within the call would come before its token is known.
-  CHECK_FALSE(host.IsDecided(token));
   REQUIRE(RunUntil(&context, 200ms, [&] { return host.IsDecided(token); }));
   CHECK(host.placed[token] == 1);
   const auto figures = scheduler.scheduling->figures();
@@ -162,6 +160,8 @@
   Connect({&host}, MakeClusterState({{1}}));
   host.socket.SetHandler(scheduling::kSchedulingMessageVersion, nullptr);
   const uint32_t token = host.Request();
+  // A decision within the call would come before its token is known.
+  CHECK_FALSE(host.IsDecided(token));
   REQUIRE(RunUntil(&context, 20ms, [&] { return host.IsDecided(token); }));
   CHECK(host.placed.contains(token));
 }
@@ -223,17 +223,57 @@
   CHECK_FALSE(host.IsDecided(low));
 }
 
-// Hosts leave a silent scheduler after 500 ms.
+// Stands for many hosts: counts the announcements that they would get.
+struct Receivers {
+  explicit Receivers(boost::asio::io_context* context)
+      : socket(context, {boost::asio::ip::address_v4(0x7f000064), 0}) {
+    socket.SetHandler(
+        scheduling::kSchedulingMessageVersion,
+        [this](const Ipv4Endpoint&, std::span<const uint8_t> datagram) {
+          bytes += datagram.size() + 28;
+        });
+    socket.Start();
+  }
+
+  size_t bytes = 0;
+  PeerSocket socket;
+};
+
+// The share of announcements in the control traffic of a large domain.
+TEST_CASE("Announcements stay below 4 KB/s") {
+  boost::asio::io_context context;
+  Host scheduler(&context, 1, 10);
+  Connect({&scheduler}, MakeClusterState({{1}}));
+  Receivers receivers(&context);
+  scheduler.scheduling->SetRemotePeers(
+      std::vector(100, receivers.socket.own_endpoint()));
+  scheduler.Request();
+  RunFor(&context, 1'400ms);
+  CHECK(receivers.bytes > 0);
+  // One announcement to all of them.
+  CHECK(receivers.bytes < 8'000);
+}
+
+// Hosts leave a silent scheduler after 500 ms; in a large domain announcements
+// are further apart.
 TEST_CASE("A request keeps waiting at a scheduler that is alive") {
   boost::asio::io_context context;
   Host scheduler(&context, 1, 10);
   Host host(&context, 2, 1);
-  Connect({&scheduler, &host}, MakeClusterState({{1}}));
+  // The request must not be refused before the host would leave.
+  cluster_state::Configuration configuration = MakeConfiguration();
+  for (cluster_state::ListenerRecord& listener : configuration.listeners) {
+    listener.latency_target = 5'000ms;
+  }
+  Connect({&scheduler, &host}, MakeClusterState({{1}}, configuration));
+  Receivers receivers(&context);
+  scheduler.scheduling->SetRemotePeers(
+      std::vector(200, receivers.socket.own_endpoint()));
   FillPool(&context, &host);
-  const uint32_t token = host.Request();
-  // Later it is refused, since the pool completes nothing.
+  const uint32_t token = host.Request(kAlerts);
   CHECK_FALSE(RunUntil(&context, 650ms, [&] {
-    return host.placed.contains(token) || host.local.contains(token);
+    return host.placed.contains(token) || host.local.contains(token) ||
+           !host.scheduling->figures().schedulers.empty();
   }));
 }
 
