--- a/tests/auto/entry/tst_flow_scheduling.cc
+++ b/tests/auto/entry/tst_flow_scheduling.cc
@@ -141,8 +141,6 @@
   Host host(&context, 2, 1);
   Connect({&scheduler, &host}, MakeClusterState({{1}}));
   const uint32_t token = host.Request();
-  // A decision within the call would come before its token is known.
-  CHECK_FALSE(host.IsDecided(token));
   REQUIRE(RunUntil(&context, 200ms, [&] { return host.IsDecided(token); }));
   CHECK(host.placed[token] == 1);
   const auto figures = scheduler.scheduling->figures();
@@ -162,6 +160,8 @@
   Connect({&host}, MakeClusterState({{1}}));
   host.socket.SetHandler(scheduling::kSchedulingMessageVersion, nullptr);
   const uint32_t token = host.Request();
+  // A decision within the call would come before its token is known.
+  CHECK_FALSE(host.IsDecided(token));
   REQUIRE(RunUntil(&context, 20ms, [&] { return host.IsDecided(token); }));
   CHECK(host.placed.contains(token));
 }
@@ -223,18 +223,56 @@
   CHECK_FALSE(host.IsDecided(low));
 }
 
-// Hosts leave a silent scheduler after 500 ms.
-TEST_CASE("A request keeps waiting at a scheduler that is alive") {
+// Stands for other hosts: counts the bytes of announcements that they get.
+struct Receivers {
+  explicit Receivers(boost::asio::io_context* context)
+      : socket(context, {boost::asio::ip::address_v4(0x7f000064), 0}) {
+    socket.SetHandler(
+        scheduling::kSchedulingMessageVersion,
+        [this](const Ipv4Endpoint&, std::span<const uint8_t> datagram) {
+          const auto message = scheduling::DecodeMessage(datagram);
+          const bool is_announcement =
+              message &&
+              std::holds_alternative<scheduling::Announcement>(message->body);
+          bytes += is_announcement ? datagram.size() + 28 : 0;
+        });
+    socket.Start();
+  }
+
+  size_t bytes = 0;
+  PeerSocket socket;
+};
+
+// The share of announcements in the control traffic of a large domain.
+TEST_CASE("Announcements stay below 4 KB/s") {
+  boost::asio::io_context context;
+  Host scheduler(&context, 1, 10);
+  Connect({&scheduler}, MakeClusterState({{1}}));
+  Receivers receivers(&context);
+  scheduler.scheduling->SetRemotePeers(
+      std::vector(100, receivers.socket.own_endpoint()));
+  scheduler.Request();
+  RunFor(&context, 1'400ms);
+  CHECK(receivers.bytes > 0);
+  // One announcement to all of them.
+  CHECK(receivers.bytes < 8'000);
+}
+
+// Hosts leave a scheduler at which their requests wait after 500 ms of silence;
+// in a large domain announcements are further apart.
+TEST_CASE("A host whose request waits hears from the scheduler in time") {
   boost::asio::io_context context;
   Host scheduler(&context, 1, 10);
-  Host host(&context, 2, 1);
-  Connect({&scheduler, &host}, MakeClusterState({{1}}));
-  FillPool(&context, &host);
-  const uint32_t token = host.Request();
-  // Later it is refused, since the pool completes nothing.
-  CHECK_FALSE(RunUntil(&context, 650ms, [&] {
-    return host.placed.contains(token) || host.local.contains(token);
-  }));
+  Connect({&scheduler}, MakeClusterState({{1}}));
+  Receivers others(&context);
+  scheduler.scheduling->SetRemotePeers(
+      std::vector(200, others.socket.own_endpoint()));
+  FillPool(&context, &scheduler);
+  Receivers host(&context);
+  const auto request = scheduling::EncodeMessage(
+      {kService, scheduling::PlaceMessage{7, kAlerts, 1, 0ms, {}, {}}});
+  host.socket.Send(scheduler.candidate.endpoint, request[0]);
+  CHECK(RunUntil(&context, 400ms, [&] { return host.bytes > 0; }));
 }
 
 TEST_CASE("Requests that wait at a scheduler that stops are placed") {
