--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -363,12 +363,15 @@
 }
 
 void PacketLoop::RefuseFlow(uint32_t token, scheduling::RefusalReason reason) {
+  if (reason == scheduling::RefusalReason::kNoUpstream) {
+    // The scheduler knows the upstreams of its failure domain only.
+    PlaceFlowLocally(token);
+    return;
+  }
   if (const auto held = m_held_syns.extract(token)) {
-    const flows::Reason cause = reason == scheduling::RefusalReason::kNoUpstream
-                                    ? flows::Reason::kNoUpstream
-                                    : flows::Reason::kNoRoom;
     ExecuteLater(held.mapped(),
-                 m_steering->RefuseHeldFlow(held.mapped().packet, token, cause,
+                 m_steering->RefuseHeldFlow(held.mapped().packet, token,
+                                            flows::Reason::kNoRoom,
                                             std::chrono::steady_clock::now()));
   }
 }
--- a/tests/auto/entry/tst_flow_scheduling.cc
+++ b/tests/auto/entry/tst_flow_scheduling.cc
@@ -71,12 +71,13 @@
     socket.Start();
   }
 
-  bool PlaceFlow(uint32_t token, uint64_t upstream_id) override {
+  FlowScheduling::PlaceResult PlaceFlow(uint32_t token,
+                                        uint64_t upstream_id) override {
     if (unusable.contains(upstream_id)) {
-      return false;
+      return FlowScheduling::PlaceResult::kUnusableUpstream;
     }
     placed[token] = upstream_id;
-    return true;
+    return FlowScheduling::PlaceResult::kPlaced;
   }
   void PlaceFlowLocally(uint32_t token) override { local.insert(token); }
   void RefuseFlow(uint32_t token, scheduling::RefusalReason) override {
