Emulate load shapes of heavy load with uneven work and speeds

The emulator had constant work and equal upstreams, so it could not show why requests wait while slots are free. Adds a set of scenarios (--set load) with 57 hosts, 120 upstreams of uneven speeds, work with a heavy tail, and a report by request kind of the busy period.

--- a/src/tools/emulator/clients.cc
+++ b/src/tools/emulator/clients.cc
@@ -26,6 +26,8 @@
 // is the request rate times this; each keeps one flow open.
 constexpr double kThinkTimeSeconds = 2.0;
 constexpr size_t kRequestBytes = 100;
+// Number of client addresses of scheduled services.
+constexpr uint32_t kClientAddresses = 512;
 
 double UniformRandom(std::mt19937_64* random) {
   return std::generate_canonical<double, 53>(*random);
@@ -47,16 +49,19 @@
       m_scenario(scenario),
       m_fleet(fleet),
       m_recorder(recorder),
-      m_random(seed) {
+      m_random(seed),
+      m_work_random(seed + 1) {
   Fleet::ClientCallbacks callbacks;
   callbacks.flow_opened = [this](const flows::FlowKey& key, uint32_t tag) {
     OnFlowOpened(key, tag);
   };
   callbacks.response_received = [this](const flows::FlowKey& key,
-                                       bool was_processed, bool closes_flow) {
-    OnResponse(key, was_processed, closes_flow);
+                                       ResponseKind kind, bool closes_flow) {
+    OnResponse(key, kind, closes_flow);
+  };
+  callbacks.flow_reset = [this](const flows::FlowKey& key) {
+    OnFlowLost(key, Ending::kRefused);
   };
-  callbacks.flow_reset = [this](const flows::FlowKey& key) { OnReset(key); };
   fleet->set_client_callbacks(std::move(callbacks));
 }
 
@@ -94,10 +99,45 @@
     if (is_moved) {
       return 1;
     }
+    // A caller stays in its domain with the probability of the domain's demand.
+    const bool has_waves = disturbance.kind == DisturbanceKind::kDomainWaves &&
+                           m_events->now() >= disturbance.begin;
+    if (has_waves &&
+        UniformRandom(&m_random) * (1 + disturbance.strength) >
+            1 + disturbance.strength * WaveAt(disturbance, domain)) {
+      return ChooseDomain();
+    }
   }
   return domain;
 }
 
+double Clients::WaveAt(const Disturbance& disturbance, size_t domain) const {
+  const std::chrono::duration<double> since =
+      m_events->now() - disturbance.begin;
+  const std::chrono::duration<double> length = disturbance.length;
+  const double phase = static_cast<double>(domain) /
+                       static_cast<double>(m_scenario.failure_domains);
+  return std::sin(2 * std::numbers::pi * (since / length + phase));
+}
+
+SteadyTime::duration Clients::DrawRequestWork(size_t kind) {
+  const RequestKind& drawn = m_scenario.kinds[kind];
+  double factor = 1;
+  for (const Disturbance& disturbance : m_scenario.disturbances) {
+    if (disturbance.kind == DisturbanceKind::kDrift) {
+      const std::chrono::duration<double> since =
+          m_events->now() - disturbance.begin;
+      const std::chrono::duration<double> length = disturbance.length;
+      factor *=
+          1 + (disturbance.strength - 1) * std::clamp(since / length, 0.0, 1.0);
+    }
+  }
+  const auto work = DrawWork(drawn.distribution, drawn.work, &m_work_random);
+  return factor == 1
+             ? work
+             : std::chrono::duration_cast<SteadyTime::duration>(work * factor);
+}
+
 void Clients::ScheduleArrival(size_t kind) {
   const double requests_per_second =
       m_scenario.kinds[kind].requests_per_second * LoadFactor();
@@ -110,9 +150,11 @@
     request->outcome.begin = m_events->now();
     request->outcome.kind = kind;
     request->outcome.failure_domain = ChooseDomain();
+    request->outcome.work = DrawRequestWork(kind);
     request->deadline = m_events->now() + m_scenario.kinds[kind].timeout;
-    m_events->ScheduleAt(request->deadline,
-                         [this, request]() { Finish(request, false); });
+    m_events->ScheduleAt(request->deadline, [this, request]() {
+      Finish(request, Ending::kFailed);
+    });
     StartAttempt(request);
     ScheduleArrival(kind);
   });
@@ -134,19 +176,18 @@
   SendRequest(flow, kInitialRetransmitDelay);
 }
 
-void Clients::Retry(const std::shared_ptr<Request>& request) {
+void Clients::Retry(const std::shared_ptr<Request>& request, Ending ending) {
   if (request->is_finished) {
     return;
   }
   if (request->outcome.attempts >= kMaxAttempts) {
-    Finish(request, false);
+    Finish(request, ending);
     return;
   }
   StartAttempt(request);
 }
 
-void Clients::Finish(const std::shared_ptr<Request>& request,
-                     bool is_answered) {
+void Clients::Finish(const std::shared_ptr<Request>& request, Ending ending) {
   if (std::exchange(request->is_finished, true)) {
     return;
   }
@@ -154,7 +195,8 @@
   const RequestKind& kind = m_scenario.kinds[outcome.kind];
   outcome.duration =
       std::chrono::duration_cast<milliseconds>(m_events->now() - outcome.begin);
-  if (is_answered) {
+  outcome.ending = ending;
+  if (ending == Ending::kAnswered) {
     outcome.utility =
         outcome.duration <= kind.latency_target ? 1 : kind.late_utility;
   }
@@ -188,17 +230,25 @@
 
 void Clients::OpenFlow(const std::shared_ptr<Request>& request) {
   auto flow = std::make_shared<Flow>();
-  const size_t service = m_scenario.kinds[request->outcome.kind].service;
   const uint32_t client = m_next_client++;
-  flow->key = {{0x64400000 + (client >> 14),
-                static_cast<uint16_t>(1'024 + (client & 0x3fff))},
-               Fleet::ListenerEndpoint(service)};
+  flow->key = {
+      {0x64400000 + (client >> 14),
+       static_cast<uint16_t>(1'024 + (client & 0x3fff))},
+      Fleet::ListenerEndpoint(m_scenario.ListenerOf(request->outcome.kind))};
+  if (m_scenario.is_schedulable) {
+    flow->key.client = {
+        0x64400000 + client % kClientAddresses,
+        static_cast<uint16_t>(1'024 + client / kClientAddresses)};
+  }
   flow->kind = request->outcome.kind;
   flow->failure_domain = request->outcome.failure_domain;
   flow->request = request;
-  const auto lifetime = std::chrono::milliseconds(
-      1 + m_random() % static_cast<uint64_t>(kMaxFlowLifetime.count()));
-  flow->expiry = m_events->now() + lifetime;
+  // Arrivals in scheduled services don't depend on the number of retries.
+  if (!m_scenario.is_schedulable) {
+    const auto lifetime = std::chrono::milliseconds(
+        1 + m_random() % static_cast<uint64_t>(kMaxFlowLifetime.count()));
+    flow->expiry = m_events->now() + lifetime;
+  }
   m_flows[flow->key] = flow;
   SendSyn(flow, 0);
   m_events->ScheduleAfter(kFirstSynRetransmit,
@@ -207,7 +257,7 @@
                           [this, flow]() { SendSyn(flow, 2); });
   m_events->ScheduleAfter(kConnectTimeout, [this, flow]() {
     if (flow->state == FlowState::kOpening) {
-      OnReset(flow->key);
+      OnFlowLost(flow->key, Ending::kFailed);
     }
   });
 }
@@ -239,8 +289,7 @@
   }
   flows::FlowPacket packet = MakePacket(*flow);
   packet.data_bytes = kRequestBytes;
-  m_fleet->Send(packet, flow->failure_domain,
-                m_scenario.kinds[flow->kind].work);
+  m_fleet->Send(packet, flow->failure_domain, request->outcome.work);
   m_events->ScheduleAfter(retransmit_delay,
                           [this, flow, request, retransmit_delay]() {
                             if (flow->request == request) {
@@ -285,7 +334,7 @@
 }
 
 void Clients::OnResponse(const flows::FlowKey& key,
-                         bool was_processed,
+                         ResponseKind kind,
                          bool closes_flow) {
   const FlowPtr flow = FindFlow(key);
   if (flow == nullptr || flow->request == nullptr) {
@@ -295,6 +344,7 @@
   const bool is_late = request->is_finished;
   flow->sequence += kRequestBytes;
   flow->ack_number += kRequestBytes;
+  const bool was_processed = kind == ResponseKind::kProcessed;
   const bool reuses_flow = m_scenario.kinds[flow->kind].reuses_flows;
   if (!reuses_flow || closes_flow || is_late || !was_processed) {
     SendFin(flow);
@@ -304,13 +354,21 @@
     m_idle_flows[{flow->kind, flow->failure_domain}].push_back(flow);
   }
   if (was_processed) {
-    Finish(request, true);
+    Finish(request, Ending::kAnswered);
+    return;
+  }
+  const bool may_retry = kind == ResponseKind::kRejected ||
+                         m_scenario.kinds[flow->kind].is_idempotent;
+  const Ending ending =
+      kind == ResponseKind::kRejected ? Ending::kRefused : Ending::kFailed;
+  if (may_retry) {
+    Retry(request, ending);
   } else {
-    Retry(request);
+    Finish(request, ending);
   }
 }
 
-void Clients::OnReset(const flows::FlowKey& key) {
+void Clients::OnFlowLost(const flows::FlowKey& key, Ending ending) {
   const FlowPtr flow = FindFlow(key);
   if (flow == nullptr) {
     return;
@@ -322,10 +380,15 @@
     return;
   }
   if (was_open && !m_scenario.kinds[flow->kind].is_idempotent) {
-    Finish(request, false);
+    Finish(request, Ending::kFailed);
+    return;
+  }
+  const bool was_refused = !was_open && ending == Ending::kRefused;
+  if (m_scenario.is_schedulable && was_refused) {
+    Finish(request, Ending::kRefused);
     return;
   }
-  Retry(request);
+  Retry(request, was_refused ? Ending::kRefused : Ending::kFailed);
 }
 
 }  // namespace poplarsail::emulator
--- a/src/tools/emulator/clients.h
+++ b/src/tools/emulator/clients.h
@@ -48,9 +48,14 @@
   void ScheduleArrival(size_t kind);
   double LoadFactor() const;
   size_t ChooseDomain();
+  // Returns the relative change of the demand of a failure domain.
+  double WaveAt(const Disturbance& disturbance, size_t domain) const;
   void StartAttempt(const std::shared_ptr<Request>& request);
-  void Retry(const std::shared_ptr<Request>& request);
-  void Finish(const std::shared_ptr<Request>& request, bool is_answered);
+  // Starts another attempt after one that ended with `ending`, unless it was
+  // the last one.
+  void Retry(const std::shared_ptr<Request>& request, Ending ending);
+  void Finish(const std::shared_ptr<Request>& request, Ending ending);
+  SteadyTime::duration DrawRequestWork(size_t kind);
 
   // Removes and returns an open flow without a request. Returns nullptr if the
   // client has to open one.
@@ -63,9 +68,10 @@
 
   void OnFlowOpened(const flows::FlowKey& key, uint32_t tag);
   void OnResponse(const flows::FlowKey& key,
-                  bool was_processed,
+                  ResponseKind kind,
                   bool closes_flow);
-  void OnReset(const flows::FlowKey& key);
+  // The flow was reset, or no upstream has accepted it in time.
+  void OnFlowLost(const flows::FlowKey& key, Ending ending);
   FlowPtr FindFlow(const flows::FlowKey& key) const;
   flows::FlowPacket MakePacket(const Flow& flow) const;
 
@@ -74,6 +80,8 @@
   Fleet* m_fleet;
   Recorder* m_recorder;
   std::mt19937_64 m_random;
+  // Separate, so that the work of requests doesn't depend on the placement.
+  std::mt19937_64 m_work_random;
   uint32_t m_next_client = 0;
   std::map<flows::FlowKey, FlowPtr> m_flows;
   // Keyed by request kind and failure domain.
--- a/src/tools/emulator/fleet.cc
+++ b/src/tools/emulator/fleet.cc
@@ -10,24 +10,17 @@
 
 using namespace std::chrono_literals;
 
+// Time in which an upstream with a fault answers with an error.
+constexpr milliseconds kErrorTime{1};
 // Delay until hosts receive a change: on average half of the interval between
 // two watches.
 constexpr milliseconds kWatchDelay{150};
-// A registration expires this long after the last message of its upstream.
-constexpr milliseconds kRegistrationTtl{1'500};
-constexpr milliseconds kColdStartTime{3'000};
-// Time between the announcement that an upstream drains and its exit.
-constexpr milliseconds kDrainTime{3'200};
 // Duration of a health check of an unresponsive upstream: two connection
 // attempts of 45 ms each.
 constexpr milliseconds kFailedCheckTime{90};
-// Time until the address of a terminated upstream is in use again.
-constexpr milliseconds kAddressReuseDelay{400};
 // One-way delay within a failure domain.
 constexpr SteadyTime::duration kLocalDelay = 500us;
 constexpr milliseconds kTickInterval{250};
-// Time that a starting host needs to read the store.
-constexpr milliseconds kHostStartTime{60};
 
 std::string UpstreamName(uint64_t id) {
   return "u" + std::to_string(id);
@@ -46,11 +39,10 @@
   cluster_state::Configuration configuration;
   configuration.version = 1;
   configuration.flow_idle_timeout = 60s;
-  for (size_t i = 0; i < scenario.services.size(); ++i) {
-    const std::string& name = scenario.services[i].name;
-    configuration.services.push_back({name, 0, "/health"});
-    configuration.listeners.push_back({name, ListenerEndpoint(i), {{name, 1}}});
+  for (const ServiceSize& service : scenario.services) {
+    configuration.services.push_back({service.name, 0, "/health"});
   }
+  configuration.listeners = MakeListeners();
   m_cluster_state.ApplyList<cluster_state::Configuration>(
       cluster_state::ObjectKind::kConfiguration, {{"main", 1, configuration}},
       {0, 1}, m_events->now());
@@ -69,8 +61,29 @@
   m_events->ScheduleAfter(kTickInterval, [this]() { Tick(); });
 }
 
-flows::Ipv4Endpoint Fleet::ListenerEndpoint(size_t service) {
-  return {0xc6120001 + static_cast<uint32_t>(service), 443};
+flows::Ipv4Endpoint Fleet::ListenerEndpoint(size_t listener) {
+  return {0xc6120001 + static_cast<uint32_t>(listener), 443};
+}
+
+std::vector<cluster_state::ListenerRecord> Fleet::MakeListeners() const {
+  std::vector<cluster_state::ListenerRecord> listeners;
+  if (!m_scenario.is_schedulable) {
+    for (size_t i = 0; i < m_scenario.services.size(); ++i) {
+      const std::string& name = m_scenario.services[i].name;
+      listeners.push_back({name, ListenerEndpoint(i), {{name, 1}}, {}, {}, {}});
+    }
+    return listeners;
+  }
+  for (size_t i = 0; i < m_scenario.kinds.size(); ++i) {
+    const RequestKind& kind = m_scenario.kinds[i];
+    listeners.push_back({kind.name,
+                         ListenerEndpoint(i),
+                         {{m_scenario.services[kind.service].name, 1}},
+                         kind.priority,
+                         kind.latency_target,
+                         kind.timeout});
+  }
+  return listeners;
 }
 
 std::string Fleet::DomainName(size_t index) const {
@@ -85,7 +98,14 @@
   record.endpoint = {0x0a000000 + static_cast<uint32_t>(m_next_id), 8080};
   record.failure_domain = DomainName(domain);
   record.cold_until = cold_until;
-  m_upstreams[record.id] = std::make_unique<UpstreamModel>(m_events, record);
+  if (m_scenario.is_schedulable) {
+    record.slots = kMaxConcurrentRequests;
+  }
+  const std::vector<double>& speeds = m_scenario.services[service].speeds;
+  const double speed =
+      speeds.empty() ? 1 : speeds[m_added_upstreams++ % speeds.size()];
+  m_upstreams[record.id] = std::make_unique<UpstreamModel>(
+      m_events, record, speed, m_scenario.cold_factor);
   PublishUpstream(record, false);
 }
 
@@ -162,16 +182,16 @@
     return nullptr;
   }
   // Routers send all packets of a flow to one host of the client's failure
-  // domain.
-  std::vector<HostModel*> local_hosts;
-  for (const auto& host : m_hosts) {
-    if (host->failure_domain() == DomainName(failure_domain)) {
-      local_hosts.push_back(host.get());
-    }
+  // domain. Host i is in domain i modulo the number of domains.
+  const size_t domains = m_scenario.failure_domains;
+  if (failure_domain >= m_hosts.size()) {
+    return m_hosts.front().get();
   }
-  return local_hosts.empty()
-             ? m_hosts.front().get()
-             : local_hosts[flows::FlowKeyHash()(key) % local_hosts.size()];
+  const size_t local_hosts =
+      (m_hosts.size() - failure_domain + domains - 1) / domains;
+  return m_hosts[failure_domain +
+                 domains * (flows::FlowKeyHash()(key) % local_hosts)]
+      .get();
 }
 
 SteadyTime::duration Fleet::DelayBetween(const std::string& from,
@@ -182,7 +202,7 @@
 
 void Fleet::Send(const flows::FlowPacket& packet,
                  size_t failure_domain,
-                 milliseconds work) {
+                 SteadyTime::duration work) {
   if (packet.data_bytes > 0) {
     m_work[packet.key] = work;
   }
@@ -243,14 +263,27 @@
   if (!upstream->AcceptData(key, packet.sequence)) {
     return;
   }
-  upstream->Submit(
-      m_work[key], [this, upstream, key, return_delay](bool was_processed) {
-        const bool closes_flow = upstream->is_draining();
-        m_events->ScheduleAfter(return_delay, [this, key, was_processed,
-                                               closes_flow]() {
-          m_client_callbacks.response_received(key, was_processed, closes_flow);
-        });
-      });
+  ++m_arrivals;
+  if (upstream->returns_errors()) {
+    SendResponse(key, ResponseKind::kError, false, return_delay + kErrorTime);
+    return;
+  }
+  upstream->Submit(m_work[key], [this, upstream, key,
+                                 return_delay](bool was_processed) {
+    m_sheds += was_processed ? 0 : 1;
+    SendResponse(
+        key, was_processed ? ResponseKind::kProcessed : ResponseKind::kRejected,
+        upstream->is_draining(), return_delay);
+  });
+}
+
+void Fleet::SendResponse(const flows::FlowKey& key,
+                         ResponseKind kind,
+                         bool closes_flow,
+                         SteadyTime::duration delay) {
+  m_events->ScheduleAfter(delay, [this, key, kind, closes_flow]() {
+    m_client_callbacks.response_received(key, kind, closes_flow);
+  });
 }
 
 void Fleet::RunHealthCheck(const std::string& from,
@@ -267,174 +300,6 @@
                           [callback, is_alive]() { callback(is_alive); });
 }
 
-void Fleet::StartDisturbance(const Disturbance& disturbance) {
-  switch (disturbance.kind) {
-    case DisturbanceKind::kBurst:
-    case DisturbanceKind::kShift:
-    case DisturbanceKind::kWaves:
-      // Load disturbances are applied by Clients.
-      return;
-    case DisturbanceKind::kCrash:
-      CrashUpstreams(disturbance.count);
-      return;
-    case DisturbanceKind::kDomainCrash:
-      CrashDomain(disturbance.length);
-      return;
-    case DisturbanceKind::kSlow:
-      SlowDownUpstreams(disturbance);
-      return;
-    case DisturbanceKind::kAddressReuse:
-      ReuseAddresses(disturbance);
-      return;
-    case DisturbanceKind::kFlap:
-      FlapUpstreams(disturbance);
-      return;
-    case DisturbanceKind::kRelease:
-      ReplaceUpstreams(disturbance, LiveUpstreamsOfFirstService());
-      return;
-    case DisturbanceKind::kRestartAll:
-      RestartHosts(disturbance.length);
-      return;
-  }
-}
-
-std::vector<uint64_t> Fleet::LiveUpstreamsOfFirstService() const {
-  std::vector<uint64_t> ids;
-  for (const auto& [id, upstream] : m_upstreams) {
-    const bool is_first =
-        upstream->record().service == m_scenario.services.front().name;
-    if (is_first && upstream->is_alive()) {
-      ids.push_back(id);
-    }
-  }
-  return ids;
-}
-
-void Fleet::Crash(uint64_t upstream_id) {
-  UpstreamModel* upstream = m_upstreams.at(upstream_id).get();
-  upstream->Crash();
-  m_crash_times[upstream_id] = m_events->now();
-  m_events->ScheduleAfter(
-      kRegistrationTtl,
-      [this, record = upstream->record()]() { PublishUpstream(record, true); });
-}
-
-void Fleet::CrashUpstreams(size_t count) {
-  std::vector<uint64_t> ids = LiveUpstreamsOfFirstService();
-  ids.resize(std::min(ids.size(), count));
-  for (const uint64_t id : ids) {
-    Crash(id);
-  }
-}
-
-void Fleet::CrashDomain(milliseconds length) {
-  std::vector<size_t> services;
-  for (const auto& [id, upstream] : m_upstreams) {
-    const cluster_state::UpstreamRecord& record = upstream->record();
-    if (record.failure_domain != DomainName(0) || !upstream->is_alive()) {
-      continue;
-    }
-    Crash(id);
-    const auto service = std::find_if(
-        m_scenario.services.begin(), m_scenario.services.end(),
-        [&record](const ServiceSize& s) { return s.name == record.service; });
-    services.push_back(
-        static_cast<size_t>(service - m_scenario.services.begin()));
-  }
-  m_events->ScheduleAfter(length, [this, services]() {
-    for (const size_t service : services) {
-      AddUpstream(service, 0, m_events->now() + kColdStartTime);
-    }
-  });
-}
-
-void Fleet::SlowDownUpstreams(const Disturbance& disturbance) {
-  std::vector<uint64_t> ids = LiveUpstreamsOfFirstService();
-  ids.resize(std::min(ids.size(), disturbance.count));
-  for (const uint64_t id : ids) {
-    m_upstreams.at(id)->set_slow_factor(disturbance.strength);
-    m_events->ScheduleAfter(disturbance.length, [this, id]() {
-      m_upstreams.at(id)->set_slow_factor(1);
-    });
-  }
-}
-
-void Fleet::ReuseAddresses(const Disturbance& disturbance) {
-  std::vector<uint64_t> ids = LiveUpstreamsOfFirstService();
-  ids.resize(std::min(ids.size(), disturbance.count));
-  for (const uint64_t id : ids) {
-    UpstreamModel* upstream = m_upstreams.at(id).get();
-    upstream->Crash();
-    m_crash_times[id] = m_events->now();
-    m_events->ScheduleAfter(kAddressReuseDelay,
-                            [this, id]() { m_reused_address_ids.insert(id); });
-    m_events->ScheduleAfter(disturbance.length,
-                            [this, record = upstream->record()]() {
-                              PublishUpstream(record, true);
-                            });
-  }
-}
-
-void Fleet::FlapUpstreams(const Disturbance& disturbance) {
-  std::vector<uint64_t> ids = LiveUpstreamsOfFirstService();
-  ids.resize(std::min(ids.size(), disturbance.count));
-  const auto phase = std::chrono::duration_cast<SteadyTime::duration>(
-      std::chrono::duration<double>(disturbance.strength));
-  const SteadyTime end = m_events->now() + disturbance.length;
-  for (const uint64_t id : ids) {
-    UpstreamModel* upstream = m_upstreams.at(id).get();
-    for (SteadyTime down = m_events->now(); down < end; down += 2 * phase) {
-      m_events->ScheduleAt(down, [upstream]() { upstream->Crash(); });
-      m_events->ScheduleAt(down + phase, [upstream]() { upstream->Restart(); });
-    }
-  }
-}
-
-void Fleet::ReplaceUpstreams(const Disturbance& disturbance,
-                             std::vector<uint64_t> remaining) {
-  const size_t count = std::min(remaining.size(), disturbance.count);
-  for (size_t i = 0; i < count; ++i) {
-    UpstreamModel* upstream = m_upstreams.at(remaining[i]).get();
-    cluster_state::UpstreamRecord record = upstream->record();
-    record.phase = cluster_state::UpstreamPhase::kDraining;
-    upstream->Drain();
-    PublishUpstream(record, false);
-    m_events->ScheduleAfter(kDrainTime, [this, upstream, record]() {
-      upstream->Crash();
-      PublishUpstream(record, true);
-      const auto domain = static_cast<size_t>(
-          std::stoul(record.failure_domain.substr(DomainName(0).size() - 1)));
-      AddUpstream(0, domain, m_events->now() + kColdStartTime);
-    });
-  }
-  remaining.erase(remaining.begin(),
-                  remaining.begin() + static_cast<int64_t>(count));
-  if (!remaining.empty()) {
-    m_events->ScheduleAfter(kDrainTime + disturbance.length,
-                            [this, disturbance, remaining]() {
-                              ReplaceUpstreams(disturbance, remaining);
-                            });
-  }
-}
-
-void Fleet::RestartHosts(milliseconds length) {
-  m_are_hosts_down = true;
-  for (const auto& host : m_hosts) {
-    host->Stop();
-  }
-  m_events->ScheduleAfter(length, [this]() {
-    for (auto& host : m_hosts) {
-      m_stopped_hosts.push_back(std::move(host));
-    }
-    m_hosts.clear();
-    for (size_t i = 0; i < m_scenario.hosts; ++i) {
-      AddHost(i);
-    }
-  });
-  m_events->ScheduleAfter(length + kHostStartTime,
-                          [this]() { m_are_hosts_down = false; });
-}
-
 std::vector<uint64_t> Fleet::CompletedRequests(size_t service) const {
   std::vector<uint64_t> completed_requests;
   for (const auto& [id, upstream] : m_upstreams) {
@@ -446,6 +311,21 @@
   return completed_requests;
 }
 
+UpstreamTotals Fleet::Totals(size_t service) const {
+  UpstreamTotals totals{m_arrivals, m_sheds, {}, 0};
+  for (const auto& [id, upstream] : m_upstreams) {
+    if (upstream->record().service != m_scenario.services[service].name ||
+        !upstream->is_alive()) {
+      continue;
+    }
+    totals.busy_time[id] =
+        std::chrono::duration<double>(upstream->completed_work()) /
+        upstream->speed();
+    totals.capacity += kMaxConcurrentRequests * upstream->speed();
+  }
+  return totals;
+}
+
 std::optional<SteadyTime> Fleet::CrashTime(uint64_t upstream_id) const {
   const auto found = m_crash_times.find(upstream_id);
   return found == m_crash_times.end() ? std::nullopt
--- a/src/tools/emulator/fleet.h
+++ b/src/tools/emulator/fleet.h
@@ -7,15 +7,24 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 #include "emulator/host_model.h"
 #include "emulator/recorder.h"
 #include "emulator/scenario.h"
 #include "emulator/upstream_model.h"
+#include "emulator/upstream_totals.h"
 
 namespace poplarsail::emulator {
 
+enum class ResponseKind : uint8_t {
+  kProcessed,
+  // The queue of the upstream is full.
+  kRejected,
+  kError,
+};
+
 // The deployment of a scenario: entry hosts, upstreams, the cluster state known
 // to all hosts, and the network between them.
 class Fleet {
@@ -24,10 +33,9 @@
   struct ClientCallbacks {
     // An upstream accepted the flow. The client repeats `tag` in each packet.
     std::function<void(const flows::FlowKey&, uint32_t tag)> flow_opened;
-    // `was_processed` is false if the upstream rejected the request;
-    // `closes_flow` is true if it closes the flow after this response.
-    std::function<
-        void(const flows::FlowKey&, bool was_processed, bool closes_flow)>
+    // `closes_flow` is true if the upstream closes the flow after this
+    // response.
+    std::function<void(const flows::FlowKey&, ResponseKind, bool closes_flow)>
         response_received;
     std::function<void(const flows::FlowKey&)> flow_reset;
   };
@@ -41,14 +49,14 @@
     m_client_callbacks = std::move(callbacks);
   }
 
-  // Returns the address at which clients reach the service.
-  static flows::Ipv4Endpoint ListenerEndpoint(size_t service);
+  // Returns the address of a listener.
+  static flows::Ipv4Endpoint ListenerEndpoint(size_t listener);
 
   // Sends a packet from a client in the failure domain. `work` is the
   // processing time of the request if the packet carries data.
   void Send(const flows::FlowPacket& packet,
             size_t failure_domain,
-            milliseconds work);
+            SteadyTime::duration work);
 
   // Starts a disturbance of hosts or upstreams; those of the load are ignored.
   void StartDisturbance(const Disturbance& disturbance);
@@ -57,6 +65,8 @@
   // service.
   std::vector<uint64_t> CompletedRequests(size_t service) const;
 
+  UpstreamTotals Totals(size_t service) const;
+
   // Returns when an upstream crashed, or std::nullopt if it did not.
   std::optional<SteadyTime> CrashTime(uint64_t upstream_id) const;
   void set_on_flow_to_crashed(std::function<void(SteadyTime::duration)> call) {
@@ -65,6 +75,7 @@
 
  private:
   std::string DomainName(size_t index) const;
+  std::vector<cluster_state::ListenerRecord> MakeListeners() const;
   void AddUpstream(size_t service, size_t domain, SteadyTime cold_until);
   void AddHost(size_t index);
   // Notifies all hosts of a change after the delay of their watches.
@@ -84,6 +95,10 @@
                         const flows::FlowPacket& packet,
                         uint32_t tag,
                         SteadyTime::duration return_delay);
+  void SendResponse(const flows::FlowKey& key,
+                    ResponseKind kind,
+                    bool closes_flow,
+                    SteadyTime::duration delay);
   void RunHealthCheck(const std::string& from,
                       uint64_t upstream_id,
                       const std::function<void(bool)>& callback);
@@ -94,10 +109,13 @@
   void SlowDownUpstreams(const Disturbance& disturbance);
   void FlapUpstreams(const Disturbance& disturbance);
   void ReuseAddresses(const Disturbance& disturbance);
+  void ReplaceUpstream(uint64_t id);
   // Replaces the first `disturbance.count` upstreams of `remaining` and then
   // schedules the next batch.
   void ReplaceUpstreams(const Disturbance& disturbance,
                         std::vector<uint64_t> remaining);
+  void StartRollingRelease(const Disturbance& disturbance);
+  void ReturnErrors(const Disturbance& disturbance);
   void RestartHosts(milliseconds length);
 
   EventQueue* m_events;
@@ -107,6 +125,9 @@
   cluster_state::ClusterState m_cluster_state;
   uint64_t m_revision = 1;
   uint64_t m_next_id = 1;
+  size_t m_added_upstreams = 0;
+  uint64_t m_arrivals = 0;
+  uint64_t m_sheds = 0;
   std::map<uint64_t, std::unique_ptr<UpstreamModel>> m_upstreams;
   std::map<uint64_t, SteadyTime> m_crash_times;
   // Ids of terminated upstreams whose addresses are in use by other upstreams.
@@ -116,7 +137,8 @@
   std::vector<std::unique_ptr<HostModel>> m_stopped_hosts;
   bool m_are_hosts_down = false;
   // Processing time of the current request of each flow.
-  std::map<flows::FlowKey, milliseconds> m_work;
+  std::unordered_map<flows::FlowKey, SteadyTime::duration, flows::FlowKeyHash>
+      m_work;
   ClientCallbacks m_client_callbacks;
   std::function<void(SteadyTime::duration)> m_on_flow_to_crashed;
 };
--- a/src/tools/emulator/main.cc
+++ b/src/tools/emulator/main.cc
@@ -3,112 +3,22 @@
 
 #include <algorithm>
 #include <exception>
-#include <fstream>
 #include <stdexcept>
 #include <string>
 #include <vector>
 
 #include <fmt/format.h>
 #include <cxxopts.hpp>
-#include <nlohmann/json.hpp>
 
 #include "emulator/emulator.h"
+#include "emulator/report_output.h"
 
 namespace {
 
 using namespace poplarsail::emulator;
-using nlohmann::json;
 
 constexpr int kExitUsage = 2;
 
-struct Result {
-  std::string scenario;
-  std::string policy;
-  Report report;
-};
-
-// One value of a report: a column of the table and a key of the JSON output.
-struct Column {
-  const char* title;
-  const char* key;
-  int decimals;
-  double (*value)(const Report& report);
-};
-
-constexpr Column kColumns[] = {
-    {"served", "served", 3, [](const Report& r) { return r.served; }},
-    {"window", "worst_window", 3,
-     [](const Report& r) { return r.worst_window; }},
-    {"domain", "worst_domain", 3,
-     [](const Report& r) { return r.worst_domain; }},
-    {"kind", "worst_kind", 3, [](const Report& r) { return r.worst_kind; }},
-    {"tries", "tries_a_request", 2,
-     [](const Report& r) { return r.attempts_per_request; }},
-    {"p99 ms", "p99_ms", 0, [](const Report& r) { return r.p99_ms; }},
-    {"imbalance", "imbalance", 2, [](const Report& r) { return r.imbalance; }},
-    {"goodput", "goodput", 2, [](const Report& r) { return r.goodput; }},
-    {"crash ms", "last_flow_after_crash_ms", 0,
-     [](const Report& r) { return r.last_flow_after_crash_ms; }},
-};
-
-void PrintTable(const std::vector<Result>& results) {
-  fmt::print("{:<13} {:<15} {:>8}", "scenario", "placement", "requests");
-  for (const Column& column : kColumns) {
-    fmt::print(" {:>9}", column.title);
-  }
-  fmt::print("\n");
-  for (const Result& result : results) {
-    fmt::print("{:<13} {:<15} {:>8}", result.scenario, result.policy,
-               result.report.requests);
-    for (const Column& column : kColumns) {
-      fmt::print(" {:>9.{}f}", column.value(result.report), column.decimals);
-    }
-    fmt::print("\n");
-  }
-}
-
-void PrintJson(const std::vector<Result>& results) {
-  json rows = json::array();
-  for (const Result& result : results) {
-    json row = {{"scenario", result.scenario},
-                {"placement", result.policy},
-                {"requests", result.report.requests},
-                {"by_window", result.report.by_window}};
-    for (const Column& column : kColumns) {
-      row[column.key] = column.value(result.report);
-    }
-    rows.push_back(std::move(row));
-  }
-  fmt::print("{}\n", rows.dump(2));
-}
-
-// Writes one plot per scenario: the mean utility by window for each placement
-// policy.
-void WritePlots(const std::vector<Result>& results,
-                const std::string& directory) {
-  std::vector<std::string> scenarios;
-  for (const Result& result : results) {
-    if (scenarios.empty() || scenarios.back() != result.scenario) {
-      scenarios.push_back(result.scenario);
-    }
-  }
-  for (const std::string& scenario : scenarios) {
-    std::vector<PlotLine> lines;
-    for (const Result& result : results) {
-      if (result.scenario == scenario) {
-        lines.push_back({result.policy, result.report.by_window});
-      }
-    }
-    const std::string path = directory + "/" + scenario + ".svg";
-    std::ofstream file(path);
-    file << DrawPlot(scenario + ": mean utility by window", lines,
-                     std::chrono::duration<double>(kReportWindow).count());
-    if (!file.flush()) {
-      throw std::runtime_error(fmt::format("{} can't be written", path));
-    }
-  }
-}
-
 template <typename Item>
 std::vector<Item> FilterByName(std::vector<Item> items,
                                const std::string& name) {
@@ -125,11 +35,18 @@
 
 int Emulate(const cxxopts::ParseResult& arguments) {
   std::vector<Result> results;
-  for (const Scenario& scenario : FilterByName(
-           StandardScenarios(), arguments["scenario"].as<std::string>())) {
-    for (const PlacementPolicy& policy :
-         FilterByName(AllPlacementPolicies(),
-                      arguments["placement"].as<std::string>())) {
+  const auto set = arguments["set"].as<std::string>();
+  if (set != "standard" && set != "load") {
+    throw std::invalid_argument(
+        fmt::format("Unknown set of scenarios \"{}\"", set));
+  }
+  const bool is_load_set = set == "load";
+  for (const Scenario& scenario :
+       FilterByName(is_load_set ? LoadScenarios() : StandardScenarios(),
+                    arguments["scenario"].as<std::string>())) {
+    for (const PlacementPolicy& policy : FilterByName(
+             is_load_set ? LoadPlacementPolicies() : AllPlacementPolicies(),
+             arguments["placement"].as<std::string>())) {
       results.push_back(
           {scenario.name, policy.name,
            Run(scenario, policy.factory, arguments["seed"].as<uint64_t>())});
@@ -137,6 +54,8 @@
   }
   if (arguments["output"].as<std::string>() == "json") {
     PrintJson(results);
+  } else if (is_load_set) {
+    PrintLoadTable(results);
   } else {
     PrintTable(results);
   }
@@ -154,6 +73,8 @@
     cxxopts::Options options("poplarsail-emulate",
                              "Simulates load shapes and compares placements");
     options.add_options()("h,help", "Show this help")(
+        "set", "Scenarios and policies to run: standard or load",
+        cxxopts::value<std::string>()->default_value("standard"))(
         "scenario", "Run only this scenario",
         cxxopts::value<std::string>()->default_value(""))(
         "placement", "Run only this placement policy",
--- a/src/tools/emulator/placement_policies.cc
+++ b/src/tools/emulator/placement_policies.cc
@@ -141,4 +141,8 @@
           {"random", MakeRandom}};
 }
 
+std::vector<PlacementPolicy> LoadPlacementPolicies() {
+  return {{"local-first", MakeLocalFirst}};
+}
+
 }  // namespace poplarsail::emulator
--- a/src/tools/emulator/placement_policies.h
+++ b/src/tools/emulator/placement_policies.h
@@ -18,6 +18,9 @@
 // compared with.
 std::vector<PlacementPolicy> AllPlacementPolicies();
 
+// Returns the policies that are compared on the load set.
+std::vector<PlacementPolicy> LoadPlacementPolicies();
+
 }  // namespace poplarsail::emulator
 
 #endif  // EMULATOR_PLACEMENT_POLICIES_H_
--- a/src/tools/emulator/recorder.cc
+++ b/src/tools/emulator/recorder.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "emulator/percentile.h"
+
 namespace poplarsail::emulator {
 
 namespace {
@@ -32,17 +34,6 @@
   return values.empty() ? 1.0 : *std::min_element(values.begin(), values.end());
 }
 
-// Returns the 99th percentile, or 0 if there are no values.
-double Percentile99(std::vector<double> values) {
-  if (values.empty()) {
-    return 0;
-  }
-  const size_t rank = (values.size() - 1) * 99 / 100;
-  std::nth_element(values.begin(), values.begin() + static_cast<int64_t>(rank),
-                   values.end());
-  return values[rank];
-}
-
 double ToMs(SteadyTime::duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
@@ -85,8 +76,8 @@
       all.requests == 0
           ? 0
           : static_cast<double>(attempts) / static_cast<double>(all.requests);
-  report.p99_ms = Percentile99(durations);
-  report.last_flow_after_crash_ms = Percentile99(after_crash);
+  report.p99_ms = Percentile(durations, 99);
+  report.last_flow_after_crash_ms = Percentile(after_crash, 99);
   return report;
 }
 
--- a/src/tools/emulator/recorder.h
+++ b/src/tools/emulator/recorder.h
@@ -7,23 +7,14 @@
 #include <vector>
 
 #include "emulator/event_queue.h"
+#include "emulator/load_report.h"
+#include "emulator/request_outcome.h"
 
 namespace poplarsail::emulator {
 
 // Utility is averaged over windows of this length.
 inline constexpr std::chrono::seconds kReportWindow{2};
 
-// The outcome of one request over all its attempts.
-struct RequestOutcome {
-  SteadyTime begin;
-  size_t kind = 0;
-  size_t failure_domain = 0;
-  // 1 if answered within the latency target, less if late, 0 if failed.
-  double utility = 0;
-  milliseconds duration{0};
-  uint32_t attempts = 0;
-};
-
 // The results of one run of a scenario.
 struct Report {
   uint64_t requests = 0;
@@ -46,6 +37,7 @@
   double last_flow_after_crash_ms = 0;
   std::vector<double> by_window;
   std::vector<double> by_kind;
+  LoadReport load;
 
   friend bool operator==(const Report&, const Report&) = default;
 };
@@ -58,6 +50,8 @@
     m_flows_to_crashed.push_back(since_crash);
   }
 
+  const std::vector<RequestOutcome>& outcomes() const { return m_outcomes; }
+
   Report Summarize(size_t kinds, size_t failure_domains) const;
 
  private:
--- a/src/tools/emulator/run.cc
+++ b/src/tools/emulator/run.cc
@@ -71,6 +71,11 @@
       *total -= static_cast<double>(Sum(fleet.CompletedRequests(0)));
     });
   }
+  UpstreamTotals busy_begin;
+  UpstreamTotals busy_end;
+  events.ScheduleAt(scenario.busy_begin,
+                    [&]() { busy_begin = fleet.Totals(0); });
+  events.ScheduleAt(scenario.busy_end, [&]() { busy_end = fleet.Totals(0); });
   clients.Start();
   events.RunUntil(kSimulationStart + scenario.length);
   Report report =
@@ -82,6 +87,8 @@
       report.goodput = completed_in_burst / length.count() / Capacity(scenario);
     }
   }
+  report.load =
+      SummarizeLoad(scenario, recorder.outcomes(), busy_begin, busy_end);
   return report;
 }
 
--- a/src/tools/emulator/scenario.cc
+++ b/src/tools/emulator/scenario.cc
@@ -10,11 +10,11 @@
 Scenario MakeBaseScenario(const std::string& name) {
   Scenario scenario;
   scenario.name = name;
-  scenario.services = {{"tally", 14}, {"archive", 4}};
+  scenario.services = {{"tally", 14, {}}, {"archive", 4, {}}};
   scenario.kinds = {
-      {"shower-alert", 0, 292, 15ms, 120ms, 500ms, 0.1, true, true},
-      {"count-entry", 0, 83, 20ms, 150ms, 600ms, 0.2, false, true},
-      {"sheet-fetch", 1, 25, 5ms, 500ms, 3'000ms, 0.1, true, false}};
+      {"shower-alert", 0, 292, 15ms, 120ms, 500ms, 0.1, true, true, 0, {}},
+      {"count-entry", 0, 83, 20ms, 150ms, 600ms, 0.2, false, true, 0, {}},
+      {"sheet-fetch", 1, 25, 5ms, 500ms, 3'000ms, 0.1, true, false, 0, {}}};
   return scenario;
 }
 
--- a/src/tools/emulator/scenario.h
+++ b/src/tools/emulator/scenario.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "emulator/event_queue.h"
+#include "emulator/work_distribution.h"
 
 namespace poplarsail::emulator {
 
@@ -26,6 +27,10 @@
   bool is_idempotent = true;
   // Flows are kept open for further requests.
   bool reuses_flows = true;
+  // 0 is the highest.
+  uint32_t priority = 0;
+  // Of the work of single requests around `work`.
+  WorkDistribution distribution;
 
   friend bool operator==(const RequestKind&, const RequestKind&) = default;
 };
@@ -33,6 +38,8 @@
 struct ServiceSize {
   std::string name;
   size_t upstreams = 0;
+  // Speeds of the upstreams, in turn; 1 if empty.
+  std::vector<double> speeds;
 
   friend bool operator==(const ServiceSize&, const ServiceSize&) = default;
 };
@@ -68,6 +75,19 @@
   kRelease,
   // All entry hosts are down for `length` and restart without any state.
   kRestartAll,
+  // The fraction `strength` of the upstreams of the first service is replaced,
+  // `count` of them every `length`.
+  kRollingRelease,
+  // `count` upstreams of the first service answer all requests with errors,
+  // quickly.
+  kFastErrors,
+  // The work of requests grows linearly to `strength` times its mean during
+  // `length`, and remains there.
+  kDrift,
+  // The demand of each failure domain varies sinusoidally by the fraction
+  // `strength`, with period `length`, out of phase with the others; the total
+  // is constant.
+  kDomainWaves,
 };
 
 struct Disturbance {
@@ -92,6 +112,23 @@
   milliseconds domain_delay{4};
   milliseconds client_delay{1};
   SteadyTime::duration length = std::chrono::seconds(30);
+  // Processing times of a cold upstream are longer by this factor.
+  double cold_factor = 3.0;
+  milliseconds cold_time{3'000};
+  // Time between the announcement that an upstream drains and its exit.
+  milliseconds drain_time{3'200};
+  // The conditions of scheduling hold: each kind of requests has a listener of
+  // its own that states priority and latency target, upstreams register their
+  // slots, and flows carry one request each. A refused request isn't retried.
+  bool is_schedulable = false;
+  // The load report covers requests that begin in this period.
+  SteadyTime busy_begin = kSimulationStart;
+  SteadyTime busy_end = kSimulationStart + std::chrono::seconds(30);
+
+  // Index of the listener of a kind.
+  size_t ListenerOf(size_t kind) const {
+    return is_schedulable ? kind : kinds[kind].service;
+  }
 
   friend bool operator==(const Scenario&, const Scenario&) = default;
 };
@@ -100,6 +137,10 @@
 // load shape and failure.
 std::vector<Scenario> StandardScenarios();
 
+// The load set: 57 hosts in 3 failure domains, of which each sees 2 % of the
+// flows, and 120 upstreams of uneven speeds. Work varies and has a heavy tail.
+std::vector<Scenario> LoadScenarios();
+
 }  // namespace poplarsail::emulator
 
 #endif  // EMULATOR_SCENARIO_H_
--- a/src/tools/emulator/upstream_model.cc
+++ b/src/tools/emulator/upstream_model.cc
@@ -19,7 +19,7 @@
   return true;
 }
 
-void UpstreamModel::Submit(milliseconds work, Done done) {
+void UpstreamModel::Submit(SteadyTime::duration work, Done done) {
   if (m_active_requests < kMaxConcurrentRequests) {
     Process({work, std::move(done)});
     return;
@@ -31,26 +31,31 @@
   m_queue.push_back({work, std::move(done)});
 }
 
+double UpstreamModel::TimePerWork() const {
+  const bool is_cold = m_events->now() < m_record.cold_until;
+  return m_slow_factor * (is_cold ? m_cold_factor : 1.0) / m_speed;
+}
+
 void UpstreamModel::Process(Request request) {
   ++m_active_requests;
-  const bool is_cold = m_events->now() < m_record.cold_until;
-  const double factor = m_slow_factor * (is_cold ? kColdFactor : 1.0);
-  const auto duration =
-      std::chrono::duration_cast<SteadyTime::duration>(request.work * factor);
-  m_events->ScheduleAfter(duration, [this, incarnation = m_incarnation,
-                                     done = std::move(request.done)]() {
-    if (!m_is_alive || incarnation != m_incarnation) {
-      return;
-    }
-    --m_active_requests;
-    ++m_completed_requests;
-    done(true);
-    if (!m_queue.empty() && m_active_requests < kMaxConcurrentRequests) {
-      Request next = std::move(m_queue.front());
-      m_queue.pop_front();
-      Process(std::move(next));
-    }
-  });
+  const auto duration = std::chrono::duration_cast<SteadyTime::duration>(
+      request.work * TimePerWork());
+  m_events->ScheduleAfter(
+      duration, [this, incarnation = m_incarnation, work = request.work,
+                 done = std::move(request.done)]() {
+        if (!m_is_alive || incarnation != m_incarnation) {
+          return;
+        }
+        --m_active_requests;
+        ++m_completed_requests;
+        m_completed_work += work;
+        done(true);
+        if (!m_queue.empty() && m_active_requests < kMaxConcurrentRequests) {
+          Request next = std::move(m_queue.front());
+          m_queue.pop_front();
+          Process(std::move(next));
+        }
+      });
 }
 
 }  // namespace poplarsail::emulator
