Run the scheduler and an oracle in the emulator

Only the hosts' own placement could be simulated. In the load set, hosts now also run scheduling::PlacementClient and ServiceScheduler (policy scheduled) with delayed messages, and an oracle that knows the work of each request and the state of all upstreams is the reference. Actions of events are moved out of the queue instead of copied.

--- a/src/tools/emulator/clients.cc
+++ b/src/tools/emulator/clients.cc
@@ -278,7 +278,7 @@
   flows::FlowPacket packet = MakePacket(*flow);
   packet.is_syn = true;
   packet.retransmit_count = retransmit_count;
-  m_fleet->Send(packet, flow->failure_domain, 0ms);
+  m_fleet->Send(packet, flow->failure_domain, flow->request->outcome.work);
 }
 
 void Clients::SendRequest(const FlowPtr& flow, milliseconds retransmit_delay) {
--- a/src/tools/emulator/event_queue.h
+++ b/src/tools/emulator/event_queue.h
@@ -1,9 +1,9 @@
 #ifndef EMULATOR_EVENT_QUEUE_H_
 #define EMULATOR_EVENT_QUEUE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
-#include <queue>
 #include <utility>
 #include <vector>
 
@@ -27,8 +27,9 @@
   SteadyTime now() const { return m_now; }
 
   void ScheduleAt(SteadyTime time, Action action) {
-    m_events.push(
+    m_events.push_back(
         {std::max(time, m_now), m_next_sequence_number++, std::move(action)});
+    std::push_heap(m_events.begin(), m_events.end());
   }
   void ScheduleAfter(SteadyTime::duration delay, Action action) {
     ScheduleAt(m_now + delay, std::move(action));
@@ -36,9 +37,10 @@
 
   // Runs all actions that are due until `end`, inclusive.
   void RunUntil(SteadyTime end) {
-    while (!m_events.empty() && m_events.top().time <= end) {
-      const Event event = m_events.top();
-      m_events.pop();
+    while (!m_events.empty() && m_events.front().time <= end) {
+      std::pop_heap(m_events.begin(), m_events.end());
+      const Event event = std::move(m_events.back());
+      m_events.pop_back();
       m_now = event.time;
       event.action();
     }
@@ -59,7 +61,8 @@
 
   SteadyTime m_now = kSimulationStart;
   uint64_t m_next_sequence_number = 0;
-  std::priority_queue<Event> m_events;
+  // A heap. Unlike std::priority_queue, it lets actions be moved out.
+  std::vector<Event> m_events;
 };
 
 }  // namespace poplarsail::emulator
--- a/src/tools/emulator/fleet.cc
+++ b/src/tools/emulator/fleet.cc
@@ -4,6 +4,8 @@
 #include <string>
 #include <utility>
 
+#include "emulator/scheduling_network.h"
+
 namespace poplarsail::emulator {
 
 namespace {
@@ -31,11 +33,14 @@
 Fleet::Fleet(EventQueue* events,
              const Scenario& scenario,
              PlacementFactory placement,
-             uint64_t seed)
+             uint64_t seed,
+             SchedulingMode mode)
     : m_events(events),
       m_scenario(scenario),
       m_placement(std::move(placement)),
-      m_random(seed) {
+      m_random(seed),
+      m_mode(mode) {
+  SetUpScheduling();
   cluster_state::Configuration configuration;
   configuration.version = 1;
   configuration.flow_idle_timeout = 60s;
@@ -61,6 +66,8 @@
   m_events->ScheduleAfter(kTickInterval, [this]() { Tick(); });
 }
 
+Fleet::~Fleet() = default;
+
 flows::Ipv4Endpoint Fleet::ListenerEndpoint(size_t listener) {
   return {0xc6120001 + static_cast<uint32_t>(listener), 443};
 }
@@ -144,6 +151,8 @@
   };
   m_hosts[host_index] = std::make_unique<HostModel>(
       m_events, domain, m_placement(domain, m_random()), std::move(callbacks));
+  m_hosts[host_index]->set_flow_scheduling(
+      MakeFlowScheduling(m_hosts[host_index].get(), host_index));
   m_hosts[host_index]->Update(m_cluster_state);
 }
 
@@ -203,7 +212,7 @@
 void Fleet::Send(const flows::FlowPacket& packet,
                  size_t failure_domain,
                  SteadyTime::duration work) {
-  if (packet.data_bytes > 0) {
+  if (packet.data_bytes > 0 || packet.is_syn) {
     m_work[packet.key] = work;
   }
   m_events->ScheduleAfter(
--- a/src/tools/emulator/fleet.h
+++ b/src/tools/emulator/fleet.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "emulator/host_model.h"
+#include "emulator/oracle.h"
 #include "emulator/recorder.h"
 #include "emulator/scenario.h"
 #include "emulator/upstream_model.h"
@@ -18,6 +19,8 @@
 
 namespace poplarsail::emulator {
 
+class SchedulingNetwork;
+
 enum class ResponseKind : uint8_t {
   kProcessed,
   // The queue of the upstream is full.
@@ -43,7 +46,9 @@
   Fleet(EventQueue* events,
         const Scenario& scenario,
         PlacementFactory placement,
-        uint64_t seed);
+        uint64_t seed,
+        SchedulingMode mode = SchedulingMode::kNone);
+  ~Fleet();
 
   void set_client_callbacks(ClientCallbacks callbacks) {
     m_client_callbacks = std::move(callbacks);
@@ -78,6 +83,13 @@
   std::vector<cluster_state::ListenerRecord> MakeListeners() const;
   void AddUpstream(size_t service, size_t domain, SteadyTime cold_until);
   void AddHost(size_t index);
+  void SetUpScheduling();
+  // Returns nullptr if flows are placed by the policy of the host.
+  std::unique_ptr<FlowScheduling> MakeFlowScheduling(HostModel* host,
+                                                     size_t host_index);
+  Oracle::Request DescribeRequest(const flows::FlowKey& key,
+                                  const std::string& failure_domain);
+  std::vector<OracleUpstream> OracleUpstreams() const;
   // Notifies all hosts of a change after the delay of their watches.
   void PublishUpstream(const cluster_state::UpstreamRecord& record,
                        bool is_removed);
@@ -122,6 +134,9 @@
   Scenario m_scenario;
   PlacementFactory m_placement;
   std::mt19937_64 m_random;
+  SchedulingMode m_mode;
+  std::unique_ptr<SchedulingNetwork> m_scheduling_network;
+  std::unique_ptr<Oracle> m_oracle;
   cluster_state::ClusterState m_cluster_state;
   uint64_t m_revision = 1;
   uint64_t m_next_id = 1;
--- a/src/tools/emulator/host_model.cc
+++ b/src/tools/emulator/host_model.cc
@@ -15,9 +15,47 @@
 
 void HostModel::Update(const cluster_state::ClusterState& cluster_state) {
   m_steering.Update(cluster_state, m_events->now());
+  if (m_flow_scheduling != nullptr) {
+    m_flow_scheduling->Update(cluster_state);
+  }
+}
+
+FlowScheduling::Callbacks HostModel::SchedulingCallbacks() {
+  FlowScheduling::Callbacks callbacks;
+  callbacks.forward = [this](const flows::FlowPacket& packet,
+                             uint64_t upstream_id) {
+    m_callbacks.forward_to_upstream(
+        packet, upstream_id,
+        flows::MakeTag(packet.key.listener, flows::TagBase(upstream_id)));
+  };
+  callbacks.reset = m_callbacks.reset_client;
+  callbacks.place_locally = [this](const flows::FlowPacket& packet) {
+    return Steer(packet);
+  };
+  callbacks.is_usable = [this](uint64_t upstream_id) {
+    return Knows(upstream_id);
+  };
+  return callbacks;
+}
+
+bool HostModel::Knows(uint64_t upstream_id) {
+  const flows::Upstream* upstream =
+      m_steering.routing_table().FindUpstream(upstream_id);
+  return upstream != nullptr && upstream->AcceptsNewFlows();
 }
 
 void HostModel::Receive(const flows::FlowPacket& packet) {
+  if (m_flow_scheduling != nullptr && packet.is_syn) {
+    m_flow_scheduling->OnSyn(packet);
+    return;
+  }
+  if (m_flow_scheduling != nullptr) {
+    m_flow_scheduling->OnPacket(packet);
+  }
+  Steer(packet);
+}
+
+uint64_t HostModel::Steer(const flows::FlowPacket& packet) {
   const SteadyTime now = m_events->now();
   const flows::Decision decision = m_steering.Decide(packet, now);
   Execute(packet, decision);
@@ -25,6 +63,7 @@
     m_pending_responses.Add(packet, {}, *decision.response_deadline);
     ScheduleTimeoutCheck();
   }
+  return decision.upstream == nullptr ? 0 : decision.upstream->record.id;
 }
 
 void HostModel::Execute(const flows::FlowPacket& packet,
--- a/src/tools/emulator/host_model.h
+++ b/src/tools/emulator/host_model.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "emulator/event_queue.h"
+#include "emulator/flow_scheduling.h"
 
 namespace poplarsail::emulator {
 
@@ -37,6 +38,14 @@
 
   const std::string& failure_domain() const { return m_failure_domain; }
 
+  // New flows are placed by `scheduling` unless it is nullptr.
+  void set_flow_scheduling(std::unique_ptr<FlowScheduling> scheduling) {
+    m_flow_scheduling = std::move(scheduling);
+  }
+  FlowScheduling::Callbacks SchedulingCallbacks();
+  // Whether new flows may use the upstream, as far as this host knows.
+  bool Knows(uint64_t upstream_id);
+
   void Update(const cluster_state::ClusterState& cluster_state);
   void Receive(const flows::FlowPacket& packet);
   void OnFailureReport(uint64_t upstream_id);
@@ -46,6 +55,8 @@
   void Tick();
 
  private:
+  // Returns the id of the upstream, or 0.
+  uint64_t Steer(const flows::FlowPacket& packet);
   void Execute(const flows::FlowPacket& packet,
                const flows::Decision& decision);
   void ScheduleTimeoutCheck();
@@ -55,6 +66,7 @@
   EventQueue* m_events;
   std::string m_failure_domain;
   flows::Steering m_steering;
+  std::unique_ptr<FlowScheduling> m_flow_scheduling;
   flows::PendingResponses m_pending_responses;
   std::optional<SteadyTime> m_next_timeout_check;
   bool m_is_stopped = false;
--- a/src/tools/emulator/main.cc
+++ b/src/tools/emulator/main.cc
@@ -47,9 +47,9 @@
     for (const PlacementPolicy& policy : FilterByName(
              is_load_set ? LoadPlacementPolicies() : AllPlacementPolicies(),
              arguments["placement"].as<std::string>())) {
-      results.push_back(
-          {scenario.name, policy.name,
-           Run(scenario, policy.factory, arguments["seed"].as<uint64_t>())});
+      results.push_back({scenario.name, policy.name,
+                         Run(scenario, policy.factory,
+                             arguments["seed"].as<uint64_t>(), policy.mode)});
     }
   }
   if (arguments["output"].as<std::string>() == "json") {
--- a/src/tools/emulator/placement_policies.cc
+++ b/src/tools/emulator/placement_policies.cc
@@ -142,7 +142,9 @@
 }
 
 std::vector<PlacementPolicy> LoadPlacementPolicies() {
-  return {{"local-first", MakeLocalFirst}};
+  return {{"local-first", MakeLocalFirst},
+          {"scheduled", MakeLocalFirst, SchedulingMode::kScheduled},
+          {"oracle", MakeLocalFirst, SchedulingMode::kOracle}};
 }
 
 }  // namespace poplarsail::emulator
--- a/src/tools/emulator/placement_policies.h
+++ b/src/tools/emulator/placement_policies.h
@@ -12,6 +12,7 @@
 struct PlacementPolicy {
   std::string name;
   PlacementFactory factory;
+  SchedulingMode mode = SchedulingMode::kNone;
 };
 
 // Returns the daemon's placement policy and the alternatives that it is
--- a/src/tools/emulator/run.cc
+++ b/src/tools/emulator/run.cc
@@ -46,10 +46,11 @@
 
 Report Run(const Scenario& scenario,
            const PlacementFactory& placement,
-           uint64_t seed) {
+           uint64_t seed,
+           SchedulingMode mode) {
   EventQueue events;
   Recorder recorder;
-  Fleet fleet(&events, scenario, placement, seed);
+  Fleet fleet(&events, scenario, placement, seed, mode);
   Clients clients(&events, scenario, &fleet, &recorder, seed + 1);
   fleet.set_on_flow_to_crashed([&recorder](SteadyTime::duration since) {
     recorder.AddFlowToCrashed(since);
--- a/src/tools/emulator/run.h
+++ b/src/tools/emulator/run.h
@@ -12,7 +12,8 @@
 // Simulates the scenario. Runs with the same seed return the same report.
 Report Run(const Scenario& scenario,
            const PlacementFactory& placement,
-           uint64_t seed);
+           uint64_t seed,
+           SchedulingMode mode = SchedulingMode::kNone);
 
 }  // namespace poplarsail::emulator
 
