--- a/src/tools/emulator/emulator.h
+++ b/src/tools/emulator/emulator.h
@@ -10,5 +10,6 @@
 #include "emulator/plot.h"
 #include "emulator/run.h"
 #include "emulator/scenario.h"
+#include "emulator/work_distribution.h"
 
 #endif  // EMULATOR_EMULATOR_H_
--- a/src/tools/emulator/fleet.h
+++ b/src/tools/emulator/fleet.h
@@ -80,6 +80,7 @@
 
  private:
   std::string DomainName(size_t index) const;
+  size_t DomainIndex(const std::string& name) const;
   std::vector<cluster_state::ListenerRecord> MakeListeners() const;
   void AddUpstream(size_t service, size_t domain, SteadyTime cold_until);
   void AddHost(size_t index);
@@ -88,7 +89,7 @@
   std::unique_ptr<FlowScheduling> MakeFlowScheduling(HostModel* host,
                                                      size_t host_index);
   Oracle::Request DescribeRequest(const flows::FlowKey& key,
-                                  const std::string& failure_domain);
+                                  size_t failure_domain);
   std::vector<OracleUpstream> OracleUpstreams() const;
   // Notifies all hosts of a change after the delay of their watches.
   void PublishUpstream(const cluster_state::UpstreamRecord& record,
--- a/src/tools/emulator/fleet_disturbances.cc
+++ b/src/tools/emulator/fleet_disturbances.cc
@@ -158,9 +158,8 @@
   m_events->ScheduleAfter(m_scenario.drain_time, [this, upstream, record]() {
     upstream->Crash();
     PublishUpstream(record, true);
-    const auto domain = static_cast<size_t>(
-        std::stoul(record.failure_domain.substr(DomainName(0).size() - 1)));
-    AddUpstream(0, domain, m_events->now() + m_scenario.cold_time);
+    AddUpstream(0, DomainIndex(record.failure_domain),
+                m_events->now() + m_scenario.cold_time);
   });
 }
 
--- a/src/tools/emulator/fleet_scheduling.cc
+++ b/src/tools/emulator/fleet_scheduling.cc
@@ -35,16 +35,19 @@
   if (m_mode == SchedulingMode::kOracle) {
     return std::make_unique<OracleFlows>(
         m_oracle.get(),
-        [this, domain = host->failure_domain()](const flows::FlowKey& key) {
-          return DescribeRequest(key, domain);
-        },
+        [this, domain = DomainIndex(host->failure_domain())](
+            const flows::FlowKey& key) { return DescribeRequest(key, domain); },
         host->SchedulingCallbacks());
   }
   return nullptr;
 }
 
+size_t Fleet::DomainIndex(const std::string& name) const {
+  return std::stoul(name.substr(DomainName(0).size() - 1));
+}
+
 Oracle::Request Fleet::DescribeRequest(const flows::FlowKey& key,
-                                       const std::string& failure_domain) {
+                                       size_t failure_domain) {
   const size_t kind = key.listener.address - ListenerEndpoint(0).address;
   Oracle::Request request;
   request.failure_domain = failure_domain;
@@ -61,7 +64,7 @@
     const bool is_usable = upstream->is_alive() && !upstream->is_draining() &&
                            !upstream->returns_errors() &&
                            m_hosts.front()->Knows(id);
-    upstreams.push_back({id, upstream->record().failure_domain,
+    upstreams.push_back({id, DomainIndex(upstream->record().failure_domain),
                          upstream->TimePerWork(), is_usable});
   }
   return upstreams;
--- a/src/tools/emulator/oracle.h
+++ b/src/tools/emulator/oracle.h
@@ -5,7 +5,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <string>
 #include <utility>
 #include <vector>
 
@@ -16,8 +15,7 @@
 // An upstream as it is, without the delay of observations.
 struct OracleUpstream {
   uint64_t id = 0;
-  // From the host of a request.
-  std::string failure_domain;
+  size_t failure_domain = 0;
   double time_per_work = 1;
   bool is_usable = false;
 };
@@ -33,7 +31,8 @@
   using Duration = SteadyTime::duration;
 
   struct Request {
-    std::string failure_domain;
+    // Of the host that asks.
+    size_t failure_domain = 0;
     uint32_t priority = 0;
     Duration work{0};
     SteadyTime deadline;
@@ -60,7 +59,7 @@
   struct Candidate {
     uint64_t id = 0;
     double time_per_work = 1;
-    std::string failure_domain;
+    size_t failure_domain = 0;
     // When each slot is free, the earliest one first.
     Slots free_at;
   };
--- a/src/tools/emulator/scheduled_flows.cc
+++ b/src/tools/emulator/scheduled_flows.cc
@@ -10,6 +10,10 @@
 using scheduling::ClientActionKind;
 using scheduling::Outcome;
 
+// A copy of a SYN that was forwarded less than this ago may have crossed the
+// response of the upstream.
+constexpr milliseconds kSynTimeout{100};
+
 // Time since the first SYN, by number of retransmissions.
 milliseconds SynAge(uint32_t retransmit_count) {
   return retransmit_count == 0 ? 0ms : retransmit_count == 1 ? 200ms : 600ms;
@@ -36,12 +40,14 @@
     return;
   }
   const Flow flow = found->second;
-  if (m_client.IsHeld(flow.token) || flow.is_established) {
+  const SteadyTime now = m_events->now();
+  if (m_client.IsHeld(flow.token) || flow.is_established ||
+      now < flow.syn_deadline) {
     return;
   }
   // The upstream has not responded to the SYN.
   m_client.OnCompleted({flow.token, flow.upstream_id, Outcome::kFailed, 0us},
-                       m_events->now());
+                       now);
   m_keys.erase(flow.token);
   Request(packet, {flow.upstream_id});
 }
@@ -119,6 +125,18 @@
 void ScheduledFlows::ExecuteOne(const scheduling::ClientAction& action) {
   const scheduling::PlacementRequest& request = action.request;
   Flow* flow = FindFlow(request.key.token);
+  if (flow == nullptr && action.kind == ClientActionKind::kPlace) {
+    // The flow was established by an earlier copy of its SYN.
+    m_client.OnCompleted(
+        {request.key.token, action.upstream_id, Outcome::kAbandoned, 0us},
+        m_events->now());
+  }
+  const bool needs_flow = action.kind == ClientActionKind::kPlace ||
+                          action.kind == ClientActionKind::kPlaceLocally ||
+                          action.kind == ClientActionKind::kReset;
+  if (flow == nullptr && needs_flow) {
+    return;
+  }
   switch (action.kind) {
     case ClientActionKind::kSendRequest:
       Send(action.scheduler,
@@ -160,6 +178,7 @@
     return;
   }
   flow->upstream_id = upstream_id;
+  flow->syn_deadline = now + kSynTimeout;
   m_client.OnPlaced(m_identity.service, flow->token, upstream_id, now);
   m_callbacks.forward(flow->syn, upstream_id);
 }
@@ -171,8 +190,9 @@
     m_flows.erase(flow->syn.key);
     return;
   }
-  m_client.OnPlaced(m_identity.service, flow->token, flow->upstream_id,
-                    m_events->now());
+  const SteadyTime now = m_events->now();
+  flow->syn_deadline = now + kSynTimeout;
+  m_client.OnPlaced(m_identity.service, flow->token, flow->upstream_id, now);
 }
 
 void ScheduledFlows::OnMessage(const model::Ipv4Endpoint& from,
--- a/src/tools/emulator/scheduled_flows.h
+++ b/src/tools/emulator/scheduled_flows.h
@@ -49,6 +49,8 @@
     flows::FlowPacket syn;
     uint32_t token = 0;
     uint64_t upstream_id = 0;
+    // When the response to the SYN is overdue.
+    SteadyTime syn_deadline;
     bool is_established = false;
     bool is_completed = false;
     std::optional<SteadyTime> request_sent;
