--- a/src/libs/scheduling/admission.cc
+++ b/src/libs/scheduling/admission.cc
@@ -13,7 +13,7 @@
 constexpr double kMinShare = 1.0 / kGrantsPerLowest;
 // A prediction has to worsen by this share of the target before a request that
 // already waits is refused.
-constexpr double kRecheckSlack = 0.1;
+constexpr double kRecheckSlack = 0.15;
 // Bounds memory; predictions keep the queue far shorter in a pool of 300
 // places.
 constexpr size_t kMaxWaiting = 4'096;
@@ -38,10 +38,10 @@
   waiting.submitted = now;
   waiting.leave_by = request.first_syn + kMaxHold;
   waiting.complete_by = request.first_syn + listener.terms.latency_target;
-  // On an idle pool the fastest upstreams would be chosen.
-  if (waiting.work_ms > listener.terms.latency_target.count()) {
+  const double idle_ms = waiting.work_ms / pool.fastest_speed();
+  if (idle_ms > listener.terms.latency_target.count()) {
     waiting.is_unservable = true;
-    waiting.complete_by = After(waiting.complete_by, waiting.work_ms);
+    waiting.complete_by = After(waiting.complete_by, idle_ms);
   }
   return waiting;
 }
@@ -95,8 +95,9 @@
 double ServiceScheduler::State::DrainRate(const Capacity& capacity,
                                           uint32_t priority,
                                           SteadyTime now) const {
-  return std::max(capacity.work_rate - listeners.DemandAbove(priority, now),
-                  capacity.work_rate * kMinShare);
+  const double work_rate = capacity.work_rate * drain.factor();
+  return std::max(work_rate - listeners.DemandAbove(priority, now),
+                  work_rate * kMinShare);
 }
 
 double ServiceScheduler::State::PredictWaitMs(const WaitingRequest& waiting,
@@ -111,6 +112,16 @@
   return ahead_ms / DrainRate(capacity, waiting.priority, now);
 }
 
+double ServiceScheduler::State::PlannedMs(const WaitingRequest& waiting,
+                                          double speed) {
+  const ListenerState& listener = listeners.Find(waiting.request.listener);
+  // Slow completions show that requests are longer than estimated.
+  const double planned_ms =
+      listener.planned_work_ms / std::min(drain.factor(), 1.0) / speed;
+  return std::min(planned_ms, std::max(waiting.work_ms / speed,
+                                       listener.max_planned_work_ms()));
+}
+
 void ServiceScheduler::State::Admit(WaitingRequest waiting, SteadyTime now) {
   // The scheduler was paused, or the request was on its way for too long.
   if (now >= waiting.leave_by) {
@@ -135,10 +146,9 @@
   const double wait_ms = PredictWaitMs(waiting, capacity, now);
   if (TryForward(waiting, wait_ms, now))
     return;
-  const double planned_ms =
-      listeners.Find(waiting.request.listener).planned_work_ms /
-      capacity.mean_speed;
-  if (wait_ms + planned_ms > MsUntil(now, waiting.complete_by)) {
+  const double planned_ms = PlannedMs(waiting, capacity.mean_speed);
+  if (wait_ms + planned_ms > MsUntil(now, waiting.complete_by) ||
+      wait_ms > MsUntil(now, waiting.leave_by)) {
     Refuse(waiting, RefusalReason::kNoRoom, now);
     return;
   }
@@ -259,9 +269,10 @@
     const ListenerState& listener = listeners.Find(waiting->request.listener);
     const double slack_ms =
         listener.terms.latency_target.count() * kRecheckSlack;
-    const double work_ms =
-        std::max(waiting->work_ms, listener.planned_work_ms - slack_ms);
-    const double completion_ms = wait_ms + work_ms / capacity.mean_speed;
+    const double planned_ms =
+        std::max(waiting->work_ms / capacity.mean_speed,
+                 PlannedMs(*waiting, capacity.mean_speed) - slack_ms);
+    const double completion_ms = wait_ms + planned_ms;
     if (capacity.has_usable && now < waiting->leave_by &&
         completion_ms <= MsUntil(now, waiting->complete_by)) {
       ahead_ms += waiting->work_ms;
--- a/tests/auto/scheduling/tst_service_scheduler.cc
+++ b/tests/auto/scheduling/tst_service_scheduler.cc
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 #include <set>
 
+#include "scheduling/listener_table.h"
+
 namespace poplarsail::scheduling {
 namespace {
 
@@ -166,6 +168,18 @@
   CHECK(Has(fixture.scheduler.Tick(At(1'300)), kRefuse, 4));
 }
 
+// Requests of a listener without long ones were refused as if it had some, or
+// long ones waited until they were late.
+TEST_CASE("Waiting requests are planned with the length of long ones") {
+  for (const bool has_tail : {false, true}) {
+    ListenerState listener({kFirst, 1, milliseconds(1'000), milliseconds(0)});
+    for (int i = 0; i < 5'000; ++i)
+      listener.AddSample(has_tail && i % 33 == 0 ? 280 : 20 + i % 40, At(i));
+    listener.Refresh(At(5'000));
+    CHECK((listener.planned_work_ms > 160) == has_tail);
+  }
+}
+
 // A target below the work itself made every request a refusal.
 TEST_CASE("Requests that never fit their target get free places") {
   Fixture fixture(1);
@@ -174,6 +188,46 @@
   learned.work.push_back({kShort, 50, 50, 60, 1'000});
   fixture.scheduler.ImportLearned(learned, At(0));
   CHECK(fixture.Granted(2, 0, kShort) == 1);
+  // Only on upstreams of usual speed would the target hold.
+  Fixture slow(1);
+  learned.work = {{kShort, 8, 8, 9, 1'000}};
+  learned.speeds = {{1, 1, 0.3, 50}};
+  slow.scheduler.ImportLearned(learned, At(0));
+  slow.scheduler.Tick(At(10));
+  CHECK(slow.Granted(1, 10, kShort) == 1);
+}
+
+// Requests were held for 1.3 s although their wait was known to be longer.
+TEST_CASE("A long target does not allow a wait beyond 1.3 s") {
+  Fixture fixture(1);
+  fixture.pool.listeners[0].latency_target = milliseconds(60'000);
+  fixture.scheduler.UpdatePool(fixture.pool, At(0));
+  uint32_t token = 1;
+  while (!Has(fixture.Submit(token, 0), kRefuse, token))
+    REQUIRE(++token < 80);
+}
+
+// The queue was full of low priorities, and high ones were refused.
+TEST_CASE("A higher priority evicts the newest request of the lowest") {
+  Fixture fixture(120);
+  LearnedMessage learned;
+  learned.work = {{kSecond, 1, 1, 1, 10'000}};
+  ServiceScheduler scheduler("s", "a", 1);
+  scheduler.UpdatePool(fixture.pool, At(0));
+  scheduler.ImportLearned(learned, At(0));
+  PlacementRequest request{{kHost, 0}, kSecond, 7, At(0), {}};
+  while (scheduler.Summary(At(0)).waiting < 4'096) {
+    ++request.key.token;
+    REQUIRE_FALSE(
+        Has(scheduler.Submit(request, At(0)), kRefuse, request.key.token));
+  }
+  const uint32_t newest = request.key.token++;
+  CHECK(Has(scheduler.Submit(request, At(0)), kRefuse, request.key.token));
+  ++request.key.token;
+  request.listener = kFirst;
+  const auto actions = scheduler.Submit(request, At(0));
+  CHECK(Has(actions, kRefuse, newest));
+  CHECK(Has(actions, kQueue, request.key.token));
 }
 
 // A copy of a request took a second place.
@@ -242,6 +296,29 @@
   CHECK(fixture.Granted(3, 10) == 0);
 }
 
+// All hosts together sent a cold upstream more than its configured rate.
+TEST_CASE("A cold upstream gets its share of the configured rate") {
+  Fixture fixture(1);
+  fixture.pool.upstreams[0].cold_until = At(5'000);
+  fixture.pool.upstreams[0].started_unix_ms = 2;
+  // Six flows per second are the schedulers', three for each of two domains.
+  fixture.pool.cold_flows_per_second = 10;
+  fixture.scheduler.UpdatePool(fixture.pool, At(0));
+  CHECK(fixture.Granted(1, 0) == 1);
+  fixture.Complete(1, 50);
+  CHECK(Has(fixture.Submit(2, 160), kQueue, 2));
+  CHECK(Has(fixture.scheduler.Tick(At(170)), kGrant, 2));
+  fixture.Announce(0, 171);
+  fixture.scheduler.Tick(At(171));
+  fixture.Complete(2, 180);
+  CHECK(Has(fixture.Submit(3, 325), kQueue, 3));
+  CHECK(Has(fixture.scheduler.Tick(At(340)), kGrant, 3));
+  fixture.Complete(3, 350);
+  CHECK(Has(fixture.Submit(4, 600), kQueue, 4));
+  CHECK_FALSE(Has(fixture.scheduler.Tick(At(660)), kGrant, 4));
+  CHECK(Has(fixture.scheduler.Tick(At(680)), kGrant, 4));
+}
+
 // Places of a host that was killed stayed taken.
 TEST_CASE("Flows of a silent host are freed after 2 s") {
   Fixture fixture(1);
