--- a/src/tools/emulator/placement_policies.cc
+++ b/src/tools/emulator/placement_policies.cc
@@ -141,4 +141,10 @@
           {"random", MakeRandom}};
 }
 
+std::vector<PlacementPolicy> LoadPlacementPolicies() {
+  return {{"local-first", MakeLocalFirst},
+          {"scheduled", MakeLocalFirst, SchedulingMode::kScheduled},
+          {"oracle", MakeLocalFirst, SchedulingMode::kOracle}};
+}
+
 }  // namespace poplarsail::emulator
--- a/src/tools/emulator/placement_policies.h
+++ b/src/tools/emulator/placement_policies.h
@@ -12,12 +12,16 @@
 struct PlacementPolicy {
   std::string name;
   PlacementFactory factory;
+  SchedulingMode mode = SchedulingMode::kNone;
 };
 
 // Returns the daemon's placement policy and the alternatives that it is
 // compared with.
 std::vector<PlacementPolicy> AllPlacementPolicies();
 
+// Returns the policies that are compared on the load set.
+std::vector<PlacementPolicy> LoadPlacementPolicies();
+
 }  // namespace poplarsail::emulator
 
 #endif  // EMULATOR_PLACEMENT_POLICIES_H_
--- a/src/tools/emulator/run.cc
+++ b/src/tools/emulator/run.cc
@@ -46,10 +46,11 @@
 
 Report Run(const Scenario& scenario,
            const PlacementFactory& placement,
-           uint64_t seed) {
+           uint64_t seed,
+           SchedulingMode mode) {
   EventQueue events;
   Recorder recorder;
-  Fleet fleet(&events, scenario, placement, seed);
+  Fleet fleet(&events, scenario, placement, seed, mode);
   Clients clients(&events, scenario, &fleet, &recorder, seed + 1);
   fleet.set_on_flow_to_crashed([&recorder](SteadyTime::duration since) {
     recorder.AddFlowToCrashed(since);
@@ -71,6 +72,11 @@
       *total -= static_cast<double>(Sum(fleet.CompletedRequests(0)));
     });
   }
+  UpstreamTotals busy_begin;
+  UpstreamTotals busy_end;
+  events.ScheduleAt(scenario.busy_begin,
+                    [&]() { busy_begin = fleet.Totals(0); });
+  events.ScheduleAt(scenario.busy_end, [&]() { busy_end = fleet.Totals(0); });
   clients.Start();
   events.RunUntil(kSimulationStart + scenario.length);
   Report report =
@@ -82,6 +88,8 @@
       report.goodput = completed_in_burst / length.count() / Capacity(scenario);
     }
   }
+  report.load =
+      SummarizeLoad(scenario, recorder.outcomes(), busy_begin, busy_end);
   return report;
 }
 
