Repeat a placement request to the same scheduler first, free places at once

Cause: one lost datagram in a thousand sent a request to the next host by rank, which scheduled without knowing the flows of the first one. A client's copy of a SYN just after a late grant counted as a failure of the upstream. An upstream that answers errors at once had a free place more often than others. Change: the first repetition goes to the same host; completions are sent at once; copies before the response is due are dropped; the place of a probable error stays taken for the usual time.

--- a/src/libs/flows/steering_placement.cc
+++ b/src/libs/flows/steering_placement.cc
@@ -25,7 +25,9 @@
   const bool is_retransmit =
       flow != nullptr && (flow->is_held || flow->is_awaiting_response) &&
       !flow->is_established && packet.retransmit_count > 0;
-  if (is_retransmit && flow->is_held) {
+  // A flow that waited is often placed just before its client's copy arrives,
+  // and the upstream's response is on its way.
+  if (is_retransmit && (flow->is_held || now < flow->response_deadline)) {
     return {Action::kDrop, Reason::kHeld};
   }
   PlacementRequest request{&listener, ChooseService(packet, listener), {}, now};
--- a/src/libs/scheduling/flow_reports.cc
+++ b/src/libs/scheduling/flow_reports.cc
@@ -6,7 +6,9 @@
 
 namespace {
 
-constexpr milliseconds kCompletionDelay{5};
+// Completions of the same moment share a datagram. Longer delays keep places
+// taken while flows wait for them.
+constexpr milliseconds kCompletionDelay{0};
 constexpr milliseconds kSnapshotInterval{500};
 constexpr milliseconds kMaxSnapshotAge{60'000};
 // Longer than a request is held, so that grants of a queue that was paused are
--- a/src/libs/scheduling/listener_table.cc
+++ b/src/libs/scheduling/listener_table.cc
@@ -40,8 +40,12 @@
       estimate(work.Estimate({})),
       planned_work_ms(estimate.mean_ms) {}
 
+bool ListenerState::IsProbablyError(double work_ms) const {
+  return work_ms < estimate.median_ms * kErrorShareOfMedian;
+}
+
 void ListenerState::AddSample(double work_ms, SteadyTime now) {
-  if (work_ms < estimate.median_ms * kErrorShareOfMedian)
+  if (IsProbablyError(work_ms))
     return;
   work.Add(work_ms, now);
 }
--- a/src/libs/scheduling/listener_table.h
+++ b/src/libs/scheduling/listener_table.h
@@ -15,6 +15,8 @@
 
   // Adds the work of a response that did not wait, unless it is so short that
   // it was probably an error.
+  // Far quicker than usual requests.
+  bool IsProbablyError(double work_ms) const;
   void AddSample(double work_ms, SteadyTime now);
   void Refresh(SteadyTime now);
   double max_planned_work_ms() const;
--- a/src/libs/scheduling/placement_client.cc
+++ b/src/libs/scheduling/placement_client.cc
@@ -15,7 +15,11 @@
 
 namespace {
 
+// The first repetition goes to the same host: a lost datagram is more likely
+// than a dead scheduler, and a second scheduler knows nothing of the flows that
+// the first one has placed.
 constexpr milliseconds kRepeatDelay{25};
+constexpr milliseconds kNextCandidateDelay{20};
 constexpr milliseconds kLocalDelay{60};
 // The client gives up 1.4 s after its first SYN.
 constexpr milliseconds kMaxHold{1'300};
@@ -35,6 +39,7 @@
   std::string service;
   PlacementRequest request;
   std::vector<Ipv4Endpoint> asked;
+  bool is_repeated = false;
   // The schedulers at which the request waits.
   std::set<Ipv4Endpoint> queued_at;
   // Not set if no candidate is left, or while the request waits.
@@ -77,6 +82,11 @@
            const Ipv4Endpoint& scheduler,
            SteadyTime now,
            ClientActions& actions);
+  // Asks the same scheduler again.
+  void Repeat(uint32_t token, SteadyTime now, ClientActions& actions);
+  void SendRequest(uint32_t token,
+                   const Ipv4Endpoint& scheduler,
+                   ClientActions& actions) const;
   void Queue(uint32_t token, const Ipv4Endpoint& scheduler);
   void Unqueue(uint32_t token, const Ipv4Endpoint& scheduler);
   void PlaceLocally(uint32_t token, SteadyTime now, ClientActions& actions);
@@ -157,8 +167,25 @@
   directory.RecordAsked(scheduler, now);
   Update(token, [&](Held& item) {
     item.asked.push_back(scheduler);
-    item.repeat_due = now + kRepeatDelay;
+    item.repeat_due =
+        now + (item.is_repeated ? kNextCandidateDelay : kRepeatDelay);
   });
+  SendRequest(token, scheduler, actions);
+}
+
+void PlacementClient::State::Repeat(uint32_t token,
+                                    SteadyTime now,
+                                    ClientActions& actions) {
+  Update(token, [&](Held& item) {
+    item.is_repeated = true;
+    item.repeat_due = now + kNextCandidateDelay;
+  });
+  SendRequest(token, held.at(token).asked.front(), actions);
+}
+
+void PlacementClient::State::SendRequest(uint32_t token,
+                                         const Ipv4Endpoint& scheduler,
+                                         ClientActions& actions) const {
   const Held& item = held.at(token);
   actions.push_back({.kind = ClientActionKind::kSendRequest,
                      .service = item.service,
@@ -215,7 +242,9 @@
   while (!deadlines.empty() && deadlines.begin()->first <= now) {
     const uint32_t token = deadlines.begin()->second;
     const Held& item = held.at(token);
-    if (item.end > now) {
+    if (item.end > now && !item.is_repeated && !item.asked.empty()) {
+      Repeat(token, now, actions);
+    } else if (item.end > now) {
       AskNext(token, now, actions);
     } else if (item.IsQueued()) {
       Reset(token, RefusalReason::kNoRoom, now, actions);
--- a/src/libs/scheduling/pool_state.cc
+++ b/src/libs/scheduling/pool_state.cc
@@ -251,6 +251,11 @@
   }
 }
 
+void PoolState::SetExpiry(const RequestKey& key, SteadyTime expires) {
+  if (const auto flow = m_flows.find(key); flow != m_flows.end())
+    flow->second.expires = expires;
+}
+
 const OutstandingFlow* PoolState::Find(const RequestKey& key) const {
   const auto flow = m_flows.find(key);
   return flow == m_flows.end() ? nullptr : &flow->second;
@@ -306,11 +311,9 @@
   } else if (upstream->limit <= upstream->pipeline) {
     ++upstream->limit;
   }
-  const double transit_ms = MsBetween(flow.granted, now) - response_ms;
-  if (response_ms > 0 && transit_ms > 0 && flow.is_granted) {
-    const double handshake_ms = std::max(transit_ms - kReportMs, 0.0);
+  const double handshake_ms = MsBetween(flow.granted, now) - response_ms;
+  if (response_ms > 0 && handshake_ms > 0 && flow.is_granted)
     m_handshake_ms += kHandshakeWeight * (handshake_ms - m_handshake_ms);
-  }
   if (!flow.had_free_slot || response_ms <= 0 ||
       upstream->record.cold_until > flow.granted)
     return;
--- a/src/libs/scheduling/pool_state.h
+++ b/src/libs/scheduling/pool_state.h
@@ -78,6 +78,7 @@
   void Add(OutstandingFlow flow, bool is_granted, SteadyTime now);
   std::optional<OutstandingFlow> Remove(const RequestKey& key, SteadyTime now);
   const OutstandingFlow* Find(const RequestKey& key) const;
+  void SetExpiry(const RequestKey& key, SteadyTime expires);
   std::vector<RequestKey> KeysOf(const Ipv4Endpoint& host) const;
   std::vector<RequestKey> Expired(SteadyTime now) const;
 
@@ -86,8 +87,9 @@
                       double response_ms,
                       SteadyTime now);
   // Mean time for which a granted flow occupies its place without being at a
-  // slot: the handshake, the way of the response, and the completion report.
-  double transit_ms() const { return m_handshake_ms * 2 + kReportMs; }
+  // slot: the handshake, and about as long for the way of the response and of
+  // the completion report.
+  double transit_ms() const { return m_handshake_ms * 2; }
   // The work in a response time, at the speed of its upstream.
   double WorkOf(double response_ms) const {
     return std::max(response_ms - m_handshake_ms, response_ms * kMinWorkShare);
@@ -121,8 +123,6 @@
   void SeedSpeed(const SpeedRecord& record, SteadyTime now);
 
  private:
-  // Completions wait up to 5 ms for others, and are on their way.
-  static constexpr double kReportMs = 3;
   // However long handshakes take, this share of a response is work.
   static constexpr double kMinWorkShare = 0.25;
 
--- a/src/libs/scheduling/scheduler_state.h
+++ b/src/libs/scheduling/scheduler_state.h
@@ -71,6 +71,11 @@
                    const Completion& completion,
                    SteadyTime now);
   void Free(const RequestKey& key, SteadyTime now);
+  // An upstream that answers errors at once would have a free place more often
+  // than all others. Its place stays taken for the usual time of a request.
+  bool HoldsPlaceOfError(const RequestKey& key,
+                         const Completion& completion,
+                         SteadyTime now);
   void Withdraw(const RequestKey& key);
   void AddListed(const RequestKey& key, const OpenFlow& flow, SteadyTime now);
   void Refresh(SteadyTime now);
--- a/src/libs/scheduling/service_scheduler.cc
+++ b/src/libs/scheduling/service_scheduler.cc
@@ -21,6 +21,8 @@
                                           const Completion& completion,
                                           SteadyTime now) {
   Withdraw(key);
+  if (HoldsPlaceOfError(key, completion, now))
+    return;
   auto flow = pool.Remove(key, now);
   if (!flow) {
     // A flow that its host placed, or a copy of the message.
@@ -49,6 +51,25 @@
   pool.RecordResponse(*flow, response_ms, now);
 }
 
+bool ServiceScheduler::State::HoldsPlaceOfError(const RequestKey& key,
+                                                const Completion& completion,
+                                                SteadyTime now) {
+  const OutstandingFlow* flow = pool.Find(key);
+  if (flow == nullptr || completion.outcome != Outcome::kResponded)
+    return false;
+  const double response_ms = Milliseconds(completion.response_time).count();
+  const ListenerState& listener = listeners.Find(flow->listener);
+  if (response_ms <= 0 || !listener.IsProbablyError(pool.WorkOf(response_ms)))
+    return false;
+  const auto work = std::chrono::duration_cast<SteadyTime::duration>(
+      Milliseconds(listener.estimate.mean_ms));
+  const SteadyTime usual_end = flow->granted + work;
+  if (usual_end <= now)
+    return false;
+  pool.SetExpiry(key, usual_end);
+  return true;
+}
+
 void ServiceScheduler::State::Withdraw(const RequestKey& key) {
   queue.Remove(key);
   forwards.erase(key);
@@ -210,10 +231,12 @@
   summary.places = capacity.places;
   summary.outstanding = capacity.outstanding;
   summary.waiting = m_state->queue.size();
-  // What own callers leave over. The slots that are free at this moment change
-  // many times until the next announcement.
+  // What own callers leave over, on average or now: the slots that are free at
+  // this moment change many times until the next announcement. Offering too
+  // much costs a round trip, since only free slots are given away.
   const double spare = capacity.work_rate - m_state->listeners.TotalDemand(now);
-  summary.free_places = static_cast<uint32_t>(std::max(spare, 0.0));
+  summary.free_places = std::max(static_cast<uint32_t>(std::max(spare, 0.0)),
+                                 summary.waiting > 0 ? 0 : capacity.free_slots);
   const double mean_ms = m_state->listeners.MeanWorkMs();
   summary.mean_work = milliseconds(std::llround(mean_ms));
   if (summary.free_places == 0 && capacity.work_rate > 0) {
