Judge errors by samples only, learn work far below the target

Cause: a quarter of a long target is the prior of a listener's work. Responses below a tenth of it counted as errors and were never learned. Change: at least five samples before a response counts as a probable error; the prior has no tail. tst_scheduling_service_scheduler failed before.

--- a/src/libs/scheduling/listener_table.cc
+++ b/src/libs/scheduling/listener_table.cc
@@ -12,6 +12,9 @@
 constexpr milliseconds kDefaultTimeout(30'000);
 // Responses below this share of the median are probably errors.
 constexpr double kErrorShareOfMedian = 0.1;
+// The prior says nothing about what is quick: a quarter of a long target may be
+// many times the work.
+constexpr double kMinErrorSamples = 5;
 // Requests may wait for a quarter of their target even if some of them need
 // nearly all of it.
 constexpr double kMaxPlannedShare = 0.75;
@@ -41,7 +44,8 @@
       planned_work_ms(estimate.mean_ms) {}
 
 bool ListenerState::IsProbablyError(double work_ms) const {
-  return work_ms < estimate.median_ms * kErrorShareOfMedian;
+  return estimate.samples >= kMinErrorSamples &&
+         work_ms < estimate.median_ms * kErrorShareOfMedian;
 }
 
 void ListenerState::AddSample(double work_ms, SteadyTime now) {
@@ -57,9 +61,12 @@
   const double tail_ms = (learned_ms * estimate.samples +
                           estimate.mean_ms * kPriorTail * kPriorTailSamples) /
                          (estimate.samples + kPriorTailSamples);
+  // Without samples the mean is a guess from the target, and has no tail.
   planned_work_ms =
-      std::clamp(tail_ms, estimate.mean_ms,
-                 std::max(estimate.mean_ms, max_planned_work_ms()));
+      estimate.samples < 1
+          ? estimate.mean_ms
+          : std::clamp(tail_ms, estimate.mean_ms,
+                       std::max(estimate.mean_ms, max_planned_work_ms()));
 }
 
 double ListenerState::max_planned_work_ms() const {
--- a/src/libs/scheduling/placement_client.cc
+++ b/src/libs/scheduling/placement_client.cc
@@ -180,7 +180,7 @@
     item.is_repeated = true;
     item.repeat_due = now + kNextCandidateDelay;
   });
-  SendRequest(token, held.at(token).asked.front(), actions);
+  SendRequest(token, held.at(token).asked.back(), actions);
 }
 
 void PlacementClient::State::SendRequest(uint32_t token,
