Findings of the review of scheduling

- A flow that was placed elsewhere than granted stayed invisible: completions and ends count for their upstream only.
- A client slow to send its request made all predictions too long: samples of the handshake time are clipped to 50 ms.
- A lost grant of a waiting request ended as a refusal: the host asks again each 200 ms.
- The turn of the lowest priority could block all others; offers of other domains and contacts were kept for ever; a pause of the scheduler lowered the learned capacity; a quick error did not end a failure; a refusal by a second scheduler ended a request that the first one had granted.
- SYNs held over a pause of the host are dropped; copies are dropped only for scheduled flows; a late handshake counts for the upstream that answered.

--- a/src/libs/entry/local_scheduler_state.h
+++ b/src/libs/entry/local_scheduler_state.h
@@ -41,6 +41,8 @@
   scheduling::SteadyTime last_request;
   scheduling::SteadyTime last_own_request;
   scheduling::SteadyTime last_tick;
+  // When the scheduler last brought its predictions up to date.
+  scheduling::SteadyTime last_refresh;
   scheduling::SteadyTime next_announcement;
   scheduling::SteadyTime next_learned;
   scheduling::SteadyTime next_log;
--- a/src/libs/entry/local_schedulers.cc
+++ b/src/libs/entry/local_schedulers.cc
@@ -149,8 +149,8 @@
   if (sender == m_own.endpoint) {
     running->last_own_request = now;
   }
-  if (running->last_tick + kIdleTick <= now) {
-    running->last_tick = now;
+  if (running->last_refresh + kIdleTick <= now) {
+    running->last_refresh = now;
     Execute(*running, running->scheduler.Tick(now), now);
   }
   const scheduling::PlacementRequest request{key,
@@ -379,6 +379,7 @@
                               Running& running,
                               SteadyTime now) {
   running.last_tick = now;
+  running.last_refresh = now;
   Execute(running, running.scheduler.Tick(now), now);
   const auto is_over = [now](const auto& item) {
     return ExpiryOf(item.second) <= now;
--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -139,6 +139,8 @@
       std::chrono::nanoseconds(boot_time.tv_nsec));
   if (is_stalled) {
     m_is_catching_up = true;
+    // Copies of these SYNs have gone to other hosts meanwhile.
+    m_held_syns.clear();
     telemetry::Log(telemetry::LogLevel::kWarning, "packets",
                    "host stood still");
   }
@@ -305,7 +307,8 @@
     m_pending_responses.Add(*packet, datagram, *decision.response_deadline);
   }
   if (decision.action == flows::Action::kAwaitPlacement) {
-    m_held_syns[decision.token] = {*packet, {datagram.begin(), datagram.end()}};
+    m_held_syns[decision.token] = {
+        *packet, now + kHeldSynTimeout, {datagram.begin(), datagram.end()}};
   }
   if (decision.action == flows::Action::kHold) {
     Hold(datagram, now);
@@ -334,31 +337,34 @@
   }
 }
 
+std::optional<PacketLoop::HeldSyn> PacketLoop::TakeHeldSyn(uint32_t token) {
+  auto held = m_held_syns.extract(token);
+  const bool is_usable =
+      held && std::chrono::steady_clock::now() < held.mapped().expiry;
+  return is_usable ? std::optional(std::move(held.mapped())) : std::nullopt;
+}
+
 FlowScheduling::PlaceResult PacketLoop::PlaceFlow(uint32_t token,
                                                   uint64_t upstream_id) {
-  const auto held = m_held_syns.find(token);
-  if (held == m_held_syns.end() ||
-      !m_steering->IsHeld(held->second.packet, token)) {
-    m_held_syns.erase(token);
+  const auto syn = TakeHeldSyn(token);
+  if (!syn || !m_steering->IsHeld(syn->packet, token)) {
     return FlowScheduling::PlaceResult::kUnknownFlow;
   }
-  const flows::Decision decision =
-      m_steering->PlaceHeldFlow(held->second.packet, token, upstream_id,
-                                std::chrono::steady_clock::now());
+  const flows::Decision decision = m_steering->PlaceHeldFlow(
+      syn->packet, token, upstream_id, std::chrono::steady_clock::now());
   if (decision.action != flows::Action::kForward) {
+    m_held_syns[token] = *syn;
     return FlowScheduling::PlaceResult::kUnusableUpstream;
   }
-  const HeldSyn syn = std::move(held->second);
-  m_held_syns.erase(held);
-  ExecuteLater(syn, decision);
+  ExecuteLater(*syn, decision);
   return FlowScheduling::PlaceResult::kPlaced;
 }
 
 void PacketLoop::PlaceFlowLocally(uint32_t token) {
-  if (const auto held = m_held_syns.extract(token)) {
-    ExecuteLater(held.mapped(), m_steering->PlaceHeldFlowLocally(
-                                    held.mapped().packet, token,
-                                    std::chrono::steady_clock::now()));
+  if (const auto syn = TakeHeldSyn(token)) {
+    ExecuteLater(*syn,
+                 m_steering->PlaceHeldFlowLocally(
+                     syn->packet, token, std::chrono::steady_clock::now()));
   }
 }
 
@@ -368,11 +374,10 @@
     PlaceFlowLocally(token);
     return;
   }
-  if (const auto held = m_held_syns.extract(token)) {
-    ExecuteLater(held.mapped(),
-                 m_steering->RefuseHeldFlow(held.mapped().packet, token,
-                                            flows::Reason::kNoRoom,
-                                            std::chrono::steady_clock::now()));
+  if (const auto syn = TakeHeldSyn(token)) {
+    ExecuteLater(*syn, m_steering->RefuseHeldFlow(
+                           syn->packet, token, flows::Reason::kNoRoom,
+                           std::chrono::steady_clock::now()));
   }
 }
 
--- a/src/libs/entry/packet_loop.h
+++ b/src/libs/entry/packet_loop.h
@@ -33,6 +33,9 @@
 inline constexpr size_t kMaxHeldPackets = 128;
 // Packets are held for less than their sender's retransmission interval.
 inline constexpr std::chrono::milliseconds kHoldTimeout{180};
+// A SYN that waited this long for its scheduler, because this host was paused,
+// is dropped. Schedulers answer within 1.3 s.
+inline constexpr std::chrono::milliseconds kHeldSynTimeout{1'350};
 
 struct PacketCounts {
   std::array<uint64_t, flows::kReasonCount> by_reason{};
@@ -100,10 +103,15 @@
   // A SYN that waits for the scheduler's answer.
   struct HeldSyn {
     flows::FlowPacket packet;
+    // After this time the client has given up, or its copies have gone to
+    // another host.
+    flows::SteadyTime expiry;
     std::vector<uint8_t> datagram;
   };
 
   void WaitForPackets();
+  // Removes and returns the SYN unless it is unknown or has expired.
+  std::optional<HeldSyn> TakeHeldSyn(uint32_t token);
   // Executes a decision on a packet that arrived before.
   void ExecuteLater(const HeldSyn& syn, const flows::Decision& decision);
   void CheckForStall();
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -93,6 +93,9 @@
   if (flow == nullptr) {
     return {Action::kDrop, Reason::kUnknownTag};
   }
+  if (flow->is_held) {
+    return {Action::kDrop, Reason::kHeld};
+  }
   flow->last_packet = now;
   if (flow->upstream_id != 0 || !flow->is_awaiting_response) {
     // Includes flows that have ended.
@@ -113,7 +116,7 @@
                                                 FlowRecord* flow,
                                                 Upstream* upstream,
                                                 SteadyTime now) {
-  if (flow->is_closed) {
+  if (flow->is_closed || flow->is_held) {
     return std::nullopt;
   }
   const bool is_new_flow = flow->upstream_id != upstream->record.id;
@@ -127,10 +130,15 @@
     upstream->liveness.RecordResponse(now);
   }
   if (is_new_flow) {
-    ReleasePlace(flow, scheduling::Outcome::kFailed);
+    const bool has_seen_start = is_late_handshake && flow->has_seen_start;
+    ReleasePlace(flow, scheduling::Outcome::kAbandoned);
     DetachFlow(*flow);
     *flow = FlowRecord{};
+    flow->has_seen_start = has_seen_start;
     AttachFlow(flow, upstream);
+    if (is_late_handshake) {
+      ReportPlacement(flow, *upstream);
+    }
   }
   flow->last_packet = now;
   const uint32_t end =
--- a/src/libs/flows/steering_placement.cc
+++ b/src/libs/flows/steering_placement.cc
@@ -1,5 +1,6 @@
 // Placement of new flows, by this host or by a scheduler.
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "flows/steering.h"
@@ -8,6 +9,10 @@
 
 namespace {
 
+// Ages of a client's first SYN and of its copies.
+constexpr std::array<milliseconds, 3> kRetransmitAges = {
+    milliseconds(0), milliseconds(200), milliseconds(600)};
+
 // Whether new flows of the listener may go to the upstream's service.
 bool SendsFlowsTo(const Listener& listener, const Upstream& upstream) {
   const auto& shares = listener.record.shares;
@@ -27,7 +32,10 @@
       !flow->is_established && packet.retransmit_count > 0;
   // A flow that waited is often placed just before its client's copy arrives,
   // and the upstream's response is on its way.
-  if (is_retransmit && (flow->is_held || now < flow->response_deadline)) {
+  const bool is_just_placed = is_retransmit && flow->token != 0 &&
+                              flow->previous_upstream_id == 0 &&
+                              now < flow->response_deadline;
+  if (is_retransmit && (flow->is_held || is_just_placed)) {
     return {Action::kDrop, Reason::kHeld};
   }
   PlacementRequest request{&listener, ChooseService(packet, listener), {}, now};
@@ -133,7 +141,9 @@
   scheduling::PlacementRequest request;
   request.listener = packet.key.listener;
   request.client_address = packet.key.client.address;
-  request.first_syn = now;
+  request.first_syn =
+      now - kRetransmitAges[std::min<size_t>(packet.retransmit_count,
+                                             kRetransmitAges.size() - 1)];
   flow->is_held = true;
   flow->last_packet = now;
   flow->token = m_scheduler->Request(service.record.name, std::move(request));
--- a/src/libs/scheduling/admission.cc
+++ b/src/libs/scheduling/admission.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "scheduling/scheduler_state.h"
 
@@ -242,14 +243,21 @@
         (grants_while_waiting + 1) % kGrantsPerLowest == 0;
     std::optional<uint64_t> upstream_id;
     int skipped_count = 0;
-    const auto taken =
-        queue.TakeNext(lowest_first, [&](const WaitingRequest& waiting) {
-          if (skipped_count > kMaxSkipped || now >= waiting.leave_by)
-            return false;
-          upstream_id = ChoosePlace(waiting, true, now);
-          skipped_count += upstream_id ? 0 : 1;
-          return upstream_id.has_value();
-        });
+    std::optional<uint32_t> priority;
+    const auto visit = [&](const WaitingRequest& waiting) {
+      if (std::exchange(priority, waiting.priority) != waiting.priority)
+        skipped_count = 0;
+      if (skipped_count > kMaxSkipped || now >= waiting.leave_by)
+        return false;
+      upstream_id = ChoosePlace(waiting, true, now);
+      skipped_count += upstream_id ? 0 : 1;
+      return upstream_id.has_value();
+    };
+    auto taken = queue.TakeNext(lowest_first, visit);
+    if (!taken && lowest_first) {
+      priority.reset();
+      taken = queue.TakeNext(false, visit);
+    }
     if (!taken)
       return;
     ++grants_while_waiting;
--- a/src/libs/scheduling/drain_meter.cc
+++ b/src/libs/scheduling/drain_meter.cc
@@ -9,6 +9,8 @@
 constexpr double kDecayMs = 2'000;
 // The estimate counts as much as the observations of this time.
 constexpr double kPriorMs = 100;
+// Ticks further apart than this show a pause of the scheduler itself.
+constexpr double kMaxIntervalMs = 250;
 constexpr double kMinFactor = 0.3;
 constexpr double kMaxFactor = 3;
 
@@ -20,7 +22,8 @@
   const double decay = std::exp(-elapsed_ms / kDecayMs);
   m_done_ms *= decay;
   m_possible_ms *= decay;
-  if (is_saturated && m_was_saturated) {
+  const bool was_paused = elapsed_ms > kMaxIntervalMs;
+  if (is_saturated && m_was_saturated && !was_paused) {
     m_done_ms += m_completed_ms;
     m_possible_ms += work_rate * elapsed_ms;
   }
--- a/src/libs/scheduling/placement_client.cc
+++ b/src/libs/scheduling/placement_client.cc
@@ -20,6 +20,7 @@
 // the first one has placed.
 constexpr milliseconds kRepeatDelay{25};
 constexpr milliseconds kNextCandidateDelay{20};
+constexpr milliseconds kQueuedRepeatDelay{200};
 constexpr milliseconds kLocalDelay{60};
 // The client gives up 1.4 s after its first SYN.
 constexpr milliseconds kMaxHold{1'300};
@@ -40,9 +41,11 @@
   PlacementRequest request;
   std::vector<Ipv4Endpoint> asked;
   bool is_repeated = false;
+  // Schedulers that have refused the request.
+  size_t refusal_count = 0;
   // The schedulers at which the request waits.
   std::set<Ipv4Endpoint> queued_at;
-  // Not set if no candidate is left, or while the request waits.
+  // Not set if no candidate is left.
   std::optional<SteadyTime> repeat_due;
   // While the request waits, the end of the wait, else when the flow is placed
   // locally.
@@ -84,10 +87,12 @@
            ClientActions& actions);
   // Asks the same scheduler again.
   void Repeat(uint32_t token, SteadyTime now, ClientActions& actions);
+  // Asks again a scheduler at which the request waits: its answer may be lost.
+  void AskWhileQueued(uint32_t token, SteadyTime now, ClientActions& actions);
   void SendRequest(uint32_t token,
                    const Ipv4Endpoint& scheduler,
                    ClientActions& actions) const;
-  void Queue(uint32_t token, const Ipv4Endpoint& scheduler);
+  void Queue(uint32_t token, const Ipv4Endpoint& scheduler, SteadyTime now);
   void Unqueue(uint32_t token, const Ipv4Endpoint& scheduler);
   void PlaceLocally(uint32_t token, SteadyTime now, ClientActions& actions);
   void Reset(uint32_t token,
@@ -102,7 +107,9 @@
   if (!next_token) {
     next_token = FirstToken(own.endpoint, now);
   }
-  while (held.contains(*next_token) || reports.IsKnown(*next_token)) {
+  // 0 means none.
+  while (*next_token == 0 || held.contains(*next_token) ||
+         reports.IsKnown(*next_token)) {
     ++*next_token;
   }
   return (*next_token)++;
@@ -183,6 +190,14 @@
   SendRequest(token, held.at(token).asked.back(), actions);
 }
 
+void PlacementClient::State::AskWhileQueued(uint32_t token,
+                                            SteadyTime now,
+                                            ClientActions& actions) {
+  Update(token,
+         [&](Held& item) { item.repeat_due = now + kQueuedRepeatDelay; });
+  SendRequest(token, *held.at(token).queued_at.begin(), actions);
+}
+
 void PlacementClient::State::SendRequest(uint32_t token,
                                          const Ipv4Endpoint& scheduler,
                                          ClientActions& actions) const {
@@ -194,11 +209,12 @@
 }
 
 void PlacementClient::State::Queue(uint32_t token,
-                                   const Ipv4Endpoint& scheduler) {
+                                   const Ipv4Endpoint& scheduler,
+                                   SteadyTime now) {
   queued[scheduler].insert(token);
   Update(token, [&](Held& item) {
     item.queued_at.insert(scheduler);
-    item.repeat_due.reset();
+    item.repeat_due = now + kQueuedRepeatDelay;
     item.end = item.request.first_syn + kMaxHold;
   });
 }
@@ -242,7 +258,9 @@
   while (!deadlines.empty() && deadlines.begin()->first <= now) {
     const uint32_t token = deadlines.begin()->second;
     const Held& item = held.at(token);
-    if (item.end > now && !item.is_repeated && !item.asked.empty()) {
+    if (item.end > now && item.IsQueued()) {
+      AskWhileQueued(token, now, actions);
+    } else if (item.end > now && !item.is_repeated && !item.asked.empty()) {
       Repeat(token, now, actions);
     } else if (item.end > now) {
       AskNext(token, now, actions);
@@ -345,7 +363,7 @@
                                         SteadyTime now) {
   m_state->directory.RecordAnswer(scheduler, now);
   if (m_state->FindAsked(token, scheduler) != nullptr) {
-    m_state->Queue(token, scheduler);
+    m_state->Queue(token, scheduler, now);
   }
   return {};
 }
@@ -364,6 +382,7 @@
   }
   m_state->Unqueue(token, scheduler);
   m_state->Update(token, [&](Held& held) { held.queued_at.erase(scheduler); });
+  ++item->refusal_count;
   const bool is_redirect = reason == RefusalReason::kUseOther;
   if (is_redirect && other) {
     m_state->directory.RecordRedirect(item->service, *other, now);
@@ -371,6 +390,10 @@
   if (item->IsQueued()) {
     return actions;
   }
+  if (!is_redirect && item->refusal_count < item->asked.size()) {
+    // Another scheduler may have granted it, and the answer is late.
+    return actions;
+  }
   if (!is_redirect) {
     m_state->Reset(token, reason, now, actions);
     return actions;
--- a/src/libs/scheduling/pool_state.cc
+++ b/src/libs/scheduling/pool_state.cc
@@ -22,6 +22,7 @@
 // Bounds the flows at an upstream whose work is far shorter than a round trip:
 // it queues some requests and rejects more.
 constexpr uint32_t kMaxPipelineFactor = 3;
+constexpr double kMaxHandshakeMs = 50;
 // Weight of a sample in the mean handshake time.
 constexpr double kHandshakeWeight = 0.02;
 constexpr milliseconds kMinBackOff(250);
@@ -297,21 +298,31 @@
   upstream->out_until = now + upstream->back_off;
 }
 
+void PoolState::RecordSign(uint64_t upstream_id) {
+  Upstream* upstream = FindUpstream(upstream_id);
+  if (!upstream)
+    return;
+  upstream->failure_count = 0;
+  if (!upstream->is_failed)
+    return;
+  upstream->is_failed = false;
+  upstream->trial.reset();
+  upstream->limit = 1;
+}
+
 void PoolState::RecordResponse(const OutstandingFlow& flow,
                                double response_ms,
                                SteadyTime now) {
   Upstream* upstream = FindUpstream(flow.upstream_id);
   if (!upstream)
     return;
-  upstream->failure_count = 0;
-  if (upstream->is_failed) {
-    upstream->is_failed = false;
-    upstream->trial.reset();
-    upstream->limit = 1;
-  } else if (upstream->limit <= upstream->pipeline) {
+  const bool was_failed = upstream->is_failed;
+  RecordSign(flow.upstream_id);
+  if (!was_failed && upstream->limit <= upstream->pipeline)
     ++upstream->limit;
-  }
-  const double handshake_ms = MsBetween(flow.granted, now) - response_ms;
+  // A client may also be slow to send its request.
+  const double handshake_ms =
+      std::min(MsBetween(flow.granted, now) - response_ms, kMaxHandshakeMs);
   if (response_ms > 0 && handshake_ms > 0 && flow.is_granted)
     m_handshake_ms += kHandshakeWeight * (handshake_ms - m_handshake_ms);
   if (!flow.had_free_slot || response_ms <= 0 ||
--- a/src/libs/scheduling/pool_state.h
+++ b/src/libs/scheduling/pool_state.h
@@ -83,6 +83,8 @@
   std::vector<RequestKey> Expired(SteadyTime now) const;
 
   void RecordFailure(const OutstandingFlow& flow, SteadyTime now);
+  // The upstream has responded, which ends a failure.
+  void RecordSign(uint64_t upstream_id);
   void RecordResponse(const OutstandingFlow& flow,
                       double response_ms,
                       SteadyTime now);
--- a/src/libs/scheduling/recent_answers.cc
+++ b/src/libs/scheduling/recent_answers.cc
@@ -20,10 +20,13 @@
   return entry->second.answer;
 }
 
-bool RecentAnswers::IsEnded(const RequestKey& key, SteadyTime now) {
+bool RecentAnswers::IsEnded(const RequestKey& key,
+                            uint64_t upstream_id,
+                            SteadyTime now) {
   const auto entry = m_entries.find(key);
   if (entry == m_entries.end() ||
-      entry->second.answer.kind != SchedulerActionKind::kGrant)
+      entry->second.answer.kind != SchedulerActionKind::kGrant ||
+      entry->second.answer.upstream_id != upstream_id)
     return false;
   entry->second.valid_until = now + kRetention;
   return true;
--- a/src/libs/scheduling/recent_answers.h
+++ b/src/libs/scheduling/recent_answers.h
@@ -15,8 +15,9 @@
  public:
   void Record(const SchedulerAction& answer, SteadyTime now);
   std::optional<SchedulerAction> Find(const RequestKey& key) const;
-  // Whether the flow has ended; remembers this for another second.
-  bool IsEnded(const RequestKey& key, SteadyTime now);
+  // Whether the flow has ended at this upstream; remembers this for another
+  // second.
+  bool IsEnded(const RequestKey& key, uint64_t upstream_id, SteadyTime now);
   void Forget(const RequestKey& key) { m_entries.erase(key); }
   void Purge(SteadyTime now);
 
--- a/src/libs/scheduling/scheduler_directory.cc
+++ b/src/libs/scheduling/scheduler_directory.cc
@@ -16,6 +16,7 @@
 constexpr size_t kMaxServices = 4'096;
 constexpr size_t kMaxHeard = 16;
 constexpr size_t kMaxContacts = 4'096;
+constexpr milliseconds kContactRetention{60'000};
 
 uint64_t RendezvousHash(const Ipv4Endpoint& endpoint,
                         const std::string& service) {
@@ -184,6 +185,11 @@
 }
 
 void SchedulerDirectory::Tick(SteadyTime now) {
+  std::erase_if(m_contacts, [now](const auto& item) {
+    const Contact& contact = item.second;
+    return !contact.answer_due && contact.skipped_until <= now &&
+           contact.last_heard + kContactRetention <= now;
+  });
   for (const auto& [endpoint, contact] : m_contacts) {
     if (contact.answer_due && *contact.answer_due <= now) {
       Skip(endpoint, now);
--- a/src/libs/scheduling/scheduler_state.h
+++ b/src/libs/scheduling/scheduler_state.h
@@ -70,7 +70,10 @@
   void CompleteOne(const RequestKey& key,
                    const Completion& completion,
                    SteadyTime now);
+  // Ends a flow for good.
   void Free(const RequestKey& key, SteadyTime now);
+  // Removes a flow that its host may list again.
+  void Forget(const RequestKey& key, SteadyTime now);
   // An upstream that answers errors at once would have a free place more often
   // than all others. Its place stays taken for the usual time of a request.
   bool HoldsPlaceOfError(const RequestKey& key,
--- a/src/libs/scheduling/service_scheduler.cc
+++ b/src/libs/scheduling/service_scheduler.cc
@@ -23,10 +23,15 @@
   Withdraw(key);
   if (HoldsPlaceOfError(key, completion, now))
     return;
-  auto flow = pool.Remove(key, now);
+  // A host that could not use a grant has placed the flow elsewhere, and
+  // completes only the grant.
+  const OutstandingFlow* known = pool.Find(key);
+  const bool is_elsewhere =
+      known != nullptr && known->upstream_id != completion.upstream_id;
+  auto flow = is_elsewhere ? std::nullopt : pool.Remove(key, now);
   if (!flow) {
     // A flow that its host placed, or a copy of the message.
-    if (answers.IsEnded(key, now))
+    if (answers.IsEnded(key, completion.upstream_id, now))
       return;
     flow.emplace();
     flow->key = key;
@@ -66,6 +71,7 @@
   const SteadyTime usual_end = flow->granted + work;
   if (usual_end <= now)
     return false;
+  pool.RecordSign(flow->upstream_id);
   pool.SetExpiry(key, usual_end);
   return true;
 }
@@ -84,11 +90,16 @@
   answers.Record(answer, now);
 }
 
+void ServiceScheduler::State::Forget(const RequestKey& key, SteadyTime now) {
+  pool.Remove(key, now);
+  answers.Forget(key);
+}
+
 void ServiceScheduler::State::AddListed(const RequestKey& key,
                                         const OpenFlow& listed,
                                         SteadyTime now) {
   Withdraw(key);
-  if (answers.IsEnded(key, now))
+  if (answers.IsEnded(key, listed.upstream_id, now))
     return;
   OutstandingFlow flow;
   flow.key = key;
@@ -119,7 +130,7 @@
     if (silent_at > now)
       continue;
     for (const RequestKey& key : pool.KeysOf(host))
-      Free(key, now);
+      Forget(key, now);
   }
   std::erase_if(hosts, [now](const auto& host) { return host.second <= now; });
   queue.Purge();
@@ -185,7 +196,7 @@
   for (const RequestKey& key : m_state->pool.KeysOf(host)) {
     if (!listed.contains(key.token) &&
         m_state->pool.Find(key)->granted + kSnapshotGrace < now)
-      m_state->Free(key, now);
+      m_state->Forget(key, now);
   }
   m_state->GrantWaiting(now);
   return m_state->TakeActions();
--- a/src/libs/scheduling/spill.cc
+++ b/src/libs/scheduling/spill.cc
@@ -6,10 +6,25 @@
 namespace {
 
 constexpr milliseconds kAnnouncementLife(1'000);
+// Announcements are at least 500 ms apart.
+constexpr milliseconds kCopyWindow(400);
+constexpr size_t kMaxDomains = 64;
 
 }  // namespace
 
 void SpillOffers::Record(const Announcement& announcement, SteadyTime now) {
+  std::erase_if(m_offers, [now](const auto& entry) {
+    return entry.second.valid_until < now;
+  });
+  const auto known = m_offers.find(announcement.failure_domain);
+  if (known == m_offers.end() && m_offers.size() >= kMaxDomains)
+    return;
+  // Several hosts may pass on the same announcement.
+  const bool is_copy = known != m_offers.end() &&
+                       known->second.announcement == announcement &&
+                       now < known->second.announced + kCopyWindow;
+  if (is_copy)
+    return;
   m_offers[announcement.failure_domain] = {announcement, now,
                                            now + kAnnouncementLife, 0};
 }
