--- a/tests/auto/flows/tst_scheduled_flows.cc
+++ b/tests/auto/flows/tst_scheduled_flows.cc
@@ -155,6 +155,42 @@
   CHECK(fixture.scheduler.placed[1].first != held.token);
 }
 
+// Guards against a failure of the wrong upstream: the one that got the SYN
+// first answered after all, and the other one has done nothing wrong.
+TEST_CASE("A late handshake takes the place of the upstream that answered") {
+  ScheduledFixture fixture;
+  const FlowPacket syn = FlowFixture::Syn(1);
+  const Decision held = fixture.steering.Decide(syn, fixture.now);
+  const Decision placed =
+      fixture.steering.PlaceHeldFlow(syn, held.token, 2, fixture.now);
+  fixture.now = *placed.response_deadline + 1ms;
+  REQUIRE(fixture.steering.DecideOnTimeout(syn, fixture.now).resend);
+  fixture.now += 5ms;
+  fixture.steering.Decide(FlowFixture::Data(1, placed.tag, 101, 500),
+                          fixture.now);
+  REQUIRE(fixture.scheduler.completions.size() == 2);
+  CHECK(fixture.scheduler.completions[1].upstream_id == 1);
+  CHECK(fixture.scheduler.completions[1].outcome ==
+        scheduling::Outcome::kAbandoned);
+  REQUIRE(fixture.scheduler.placed.size() == 3);
+  CHECK(fixture.scheduler.placed[2].second == 2);
+}
+
+// Guards against a flow that moves to a second upstream because its client sent
+// a copy of the SYN while it waited.
+TEST_CASE("A copy that arrives just after the grant is not placed again") {
+  ScheduledFixture fixture;
+  const FlowPacket syn = FlowFixture::Syn(1);
+  const Decision held = fixture.steering.Decide(syn, fixture.now);
+  fixture.now += 199ms;
+  fixture.steering.PlaceHeldFlow(syn, held.token, 2, fixture.now);
+  fixture.now += 1ms;
+  const Decision copy = fixture.steering.Decide(
+      FlowFixture::Syn(1, kTallyListener, 1), fixture.now);
+  CHECK(copy.action == Action::kDrop);
+  CHECK(fixture.scheduler.completions.empty());
+}
+
 // Guards against forwarding by an answer that comes too late or names an
 // upstream that left meanwhile.
 TEST_CASE("A grant that cannot be used places nothing") {
