--- a/src/libs/explain/diagnosis.cc
+++ b/src/libs/explain/diagnosis.cc
@@ -15,6 +15,7 @@
 
 constexpr const char* kFlowPlaced = "flow placed";
 constexpr const char* kFlowRefused = "flow refused";
+constexpr const char* kRequestsWaiting = "requests waiting";
 constexpr const char* kUpstreamSilent = "upstream does not answer";
 constexpr const char* kUpstreamRefuses = "upstream refuses connections";
 constexpr const char* kUpstreamAnswers = "upstream answers";
@@ -273,6 +274,8 @@
     static const std::map<std::string, std::pair<Cause, const char*>> kReasons =
         {{"no-upstream",
           {Cause::kNoUpstream, "no upstream could take the flow"}},
+         {"no-room",
+          {Cause::kNoRoom, "the service was full, nothing was forwarded"}},
          {"no-listener",
           {Cause::kNoListener, "the configuration has no such listener"}},
          {"upstream-gone",
@@ -291,6 +294,32 @@
     m_diagnosis.summary =
         fmt::format("{}: refused by {} at {}", found->second.second,
                     refusal.host, FormatLogTime(refusal.time));
+    if (m_diagnosis.cause == Cause::kNoRoom) {
+      m_diagnosis.summary += DescribeLoad(refusal.time);
+    }
+  }
+
+  // What the schedulers reported closest to `time`, or an empty string.
+  std::string DescribeLoad(LogTime time) const {
+    const TimelineEntry* closest = nullptr;
+    for (const TimelineEntry& entry : m_timeline) {
+      if (entry.line.message != kRequestsWaiting || !IsInWindow(entry)) {
+        continue;
+      }
+      const bool is_closer =
+          closest == nullptr || std::chrono::abs(entry.time - time) <
+                                    std::chrono::abs(closest->time - time);
+      closest = is_closer ? &entry : closest;
+    }
+    if (closest == nullptr) {
+      return "";
+    }
+    return fmt::format(
+        "; at {} the scheduler on {} had {} requests waiting for {}, {} "
+        "outstanding for {} places",
+        FormatLogTime(closest->time), closest->host,
+        closest->line.Value("waiting"), closest->line.Value("service"),
+        closest->line.Value("outstanding"), closest->line.Value("places"));
   }
 
   // Lists the daemons that had started but were not ready at the time of the
--- a/src/libs/explain/diagnosis.h
+++ b/src/libs/explain/diagnosis.h
@@ -42,6 +42,8 @@
   kHostStalled,
   kDaemonNotReady,
   kNoUpstream,
+  // The service was full: no response was possible in time.
+  kNoRoom,
   kNoListener,
   kUpstreamGone,
   kUnknownTag,
--- a/tests/auto/explain/tst_explain.cc
+++ b/tests/auto/explain/tst_explain.cc
@@ -162,6 +162,19 @@
     expected = Cause::kNoUpstream;
     evidence = "refused by front-1";
   }
+  SECTION("service full") {
+    front += Line("00:11.000", "flow refused",
+                  "flow=" + kFlow + " reason=no-room upstream=none");
+    other += Line("00:10.800", "requests waiting",
+                  "service=tally waiting=112 places=60 outstanding=90") +
+             Line("00:14.000", "requests waiting",
+                  "service=tally waiting=3 places=60 outstanding=62");
+    expected = Cause::kNoRoom;
+    evidence =
+        "refused by front-1 at 2026-12-04T06:00:11.000Z; at "
+        "2026-12-04T06:00:10.800Z the scheduler on front-2 had 112 requests "
+        "waiting for tally, 90 outstanding for 60 places";
+  }
   SECTION("daemon not ready") {
     query.flow = "100.64.0.9:9";
     query.at = ParseLogTime("2026-12-04T06:00:30.000Z");
