--- a/src/libs/scheduling/admission.cc
+++ b/src/libs/scheduling/admission.cc
@@ -74,8 +74,9 @@
   }
   const auto answer = answers.Find(key);
   if (!answer || (answer->kind == SchedulerActionKind::kGrant &&
-                  is_excluded(answer->upstream_id)))
+                  is_excluded(answer->upstream_id))) {
     return false;
+  }
   actions.push_back(*answer);
   return true;
 }
@@ -105,8 +106,9 @@
 double ServiceScheduler::State::PredictWaitMs(const WaitingRequest& waiting,
                                               const Capacity& capacity,
                                               SteadyTime now) const {
-  if (capacity.work_rate <= 0)
+  if (capacity.work_rate <= 0) {
     return std::numeric_limits<double>::infinity();
+  }
   const double ahead_ms =
       queue.WorkAheadMs(waiting.priority, waiting.request.listener,
                         waiting.request.client_address) +
@@ -146,8 +148,9 @@
     return;
   }
   const double wait_ms = PredictWaitMs(waiting, capacity, now);
-  if (TryForward(waiting, wait_ms, now))
+  if (TryForward(waiting, wait_ms, now)) {
     return;
+  }
   const double planned_ms = PlannedMs(waiting, capacity.mean_speed);
   if (wait_ms + planned_ms > MsUntil(now, waiting.complete_by) ||
       wait_ms > MsUntil(now, waiting.leave_by)) {
@@ -161,15 +164,17 @@
   if (queue.size() >= kMaxWaiting) {
     const auto evicted = queue.EvictBelow(waiting.priority);
     Refuse(evicted ? *evicted : waiting, RefusalReason::kNoRoom, now);
-    if (!evicted)
+    if (!evicted) {
       return;
+    }
   }
   const RequestKey key = waiting.request.key;
   const uint32_t priority = waiting.priority;
   queue.Push(std::move(waiting));
   GrantWaiting(now);
-  if (!queue.Contains(key))
+  if (!queue.Contains(key)) {
     return;
+  }
   ++figures.by_priority[priority].queued;
   actions.push_back(MakeAction(SchedulerActionKind::kQueue, key));
 }
@@ -177,14 +182,17 @@
 bool ServiceScheduler::State::TryForward(WaitingRequest& waiting,
                                          double wait_ms,
                                          SteadyTime now) {
-  if (waiting.was_forwarded || waiting.request.is_forwarded)
+  if (waiting.was_forwarded || waiting.request.is_forwarded) {
     return false;
+  }
   const double left_ms = MsUntil(now, waiting.complete_by);
-  if (waiting.work_ms + kDomainRoundTrip.count() > left_ms)
+  if (waiting.work_ms + kDomainRoundTrip.count() > left_ms) {
     return false;
+  }
   const auto scheduler = offers.Take(wait_ms, now);
-  if (!scheduler)
+  if (!scheduler) {
     return false;
+  }
   ++figures.by_priority[waiting.priority].forwarded;
   SchedulerAction forward =
       MakeAction(SchedulerActionKind::kForward, waiting.request.key);
@@ -219,8 +227,9 @@
   grant.upstream_id = upstream_id;
   actions.push_back(grant);
   ++figures.by_priority[waiting.priority].granted;
-  if (waits.size() == kMaxWaits)
+  if (waits.size() == kMaxWaits) {
     waits.pop_front();
+  }
   waits.push_back(
       {waiting.request.listener,
        std::chrono::duration_cast<milliseconds>(now - waiting.submitted)});
@@ -245,10 +254,12 @@
     int skipped_count = 0;
     std::optional<uint32_t> priority;
     const auto visit = [&](const WaitingRequest& waiting) {
-      if (std::exchange(priority, waiting.priority) != waiting.priority)
+      if (std::exchange(priority, waiting.priority) != waiting.priority) {
         skipped_count = 0;
-      if (skipped_count > kMaxSkipped || now >= waiting.leave_by)
+      }
+      if (skipped_count > kMaxSkipped || now >= waiting.leave_by) {
         return false;
+      }
       upstream_id = ChoosePlace(waiting, true, now);
       skipped_count += upstream_id ? 0 : 1;
       return upstream_id.has_value();
@@ -258,8 +269,9 @@
       priority.reset();
       taken = queue.TakeNext(false, visit);
     }
-    if (!taken)
+    if (!taken) {
       return;
+    }
     ++grants_while_waiting;
     Grant(*taken, *upstream_id, now);
   }
@@ -272,8 +284,9 @@
   std::map<uint32_t, double> rates;
   for (const WaitingRequest* waiting : queue.InOrder()) {
     auto [rate, is_new] = rates.try_emplace(waiting->priority, 0);
-    if (is_new)
+    if (is_new) {
       rate->second = DrainRate(capacity, waiting->priority, now);
+    }
     const double wait_ms = (ahead_ms + waiting->work_ms) / rate->second;
     const ListenerState& listener = listeners.Find(waiting->request.listener);
     const double slack_ms =
@@ -292,8 +305,9 @@
   for (const RequestKey& key : late) {
     auto waiting = queue.Remove(key);
     if (capacity.has_usable &&
-        TryForward(*waiting, MsUntil(now, waiting->complete_by), now))
+        TryForward(*waiting, MsUntil(now, waiting->complete_by), now)) {
       continue;
+    }
     Refuse(*waiting,
            capacity.has_usable ? RefusalReason::kNoRoom
                                : RefusalReason::kNoUpstream,
@@ -304,8 +318,9 @@
 void ServiceScheduler::State::ReturnForwards(SteadyTime now) {
   std::vector<RequestKey> expired;
   for (const auto& [key, forward] : forwards) {
-    if (forward.expires <= now)
+    if (forward.expires <= now) {
       expired.push_back(key);
+    }
   }
   for (const RequestKey& key : expired) {
     auto node = forwards.extract(key);
--- a/src/libs/scheduling/drain_meter.cc
+++ b/src/libs/scheduling/drain_meter.cc
@@ -35,8 +35,9 @@
 
 double DrainMeter::factor() const {
   const double prior_ms = m_work_rate * kPriorMs;
-  if (prior_ms <= 0)
+  if (prior_ms <= 0) {
     return 1;
+  }
   return std::clamp((m_done_ms + prior_ms) / (m_possible_ms + prior_ms),
                     kMinFactor, kMaxFactor);
 }
--- a/src/libs/scheduling/fair_queue.cc
+++ b/src/libs/scheduling/fair_queue.cc
@@ -10,10 +10,12 @@
   Level& level = m_levels[position.priority];
   Listener& listener = level.listeners[position.listener];
   Client& client = listener.clients[position.client_address];
-  if (listener.count == 0)
+  if (listener.count == 0) {
     listener.start = std::max(listener.start, level.virtual_time);
-  if (client.requests.empty())
+  }
+  if (client.requests.empty()) {
     client.start = std::max(client.start, listener.virtual_time);
+  }
   ++level.count;
   ++listener.count;
   level.work_ms += waiting.work_ms;
@@ -43,8 +45,9 @@
     const Level& level) {
   std::vector<std::pair<double, Ipv4Endpoint>> order;
   for (const auto& [endpoint, listener] : level.listeners) {
-    if (listener.count > 0)
+    if (listener.count > 0) {
       order.emplace_back(listener.start, endpoint);
+    }
   }
   std::ranges::sort(order);
   return order;
@@ -55,8 +58,9 @@
   std::vector<std::pair<double, uint32_t>> heap;
   heap.reserve(listener.clients.size());
   for (const auto& [address, client] : listener.clients) {
-    if (!client.requests.empty())
+    if (!client.requests.empty()) {
       heap.emplace_back(client.start, address);
+    }
   }
   std::ranges::make_heap(heap, std::greater<>());
   return heap;
@@ -66,11 +70,13 @@
                                                   const Visitor& visit) {
   std::vector<uint32_t> priorities;
   for (const auto& [priority, level] : m_levels) {
-    if (level.count > 0)
+    if (level.count > 0) {
       priorities.push_back(priority);
+    }
   }
-  if (lowest_first)
+  if (lowest_first) {
     std::ranges::reverse(priorities);
+  }
   for (const uint32_t priority : priorities) {
     Level& level = m_levels.at(priority);
     for (const auto& [start, endpoint] : ListenersByStart(level)) {
@@ -81,8 +87,9 @@
         std::ranges::pop_heap(heap, std::greater<>());
         const auto [client_start, address] = heap.back();
         Client& client = listener.clients.at(address);
-        if (!visit(client.requests.front()))
+        if (!visit(client.requests.front())) {
           continue;
+        }
         WaitingRequest taken =
             TakeFrom({priority, endpoint, address}, client.requests.begin());
         level.virtual_time = std::max(level.virtual_time, start);
@@ -98,8 +105,9 @@
 
 std::optional<WaitingRequest> FairQueue::Remove(const RequestKey& key) {
   const auto found = m_keys.find(key);
-  if (found == m_keys.end())
+  if (found == m_keys.end()) {
     return std::nullopt;
+  }
   const Position position = found->second;
   auto& requests = m_levels.at(position.priority)
                        .listeners.at(position.listener)
@@ -113,19 +121,23 @@
 std::optional<WaitingRequest> FairQueue::EvictBelow(uint32_t priority) {
   for (auto it = m_levels.rbegin(); it != m_levels.rend(); ++it) {
     const auto& [lowest, level] = *it;
-    if (lowest <= priority)
+    if (lowest <= priority) {
       return std::nullopt;
+    }
     const WaitingRequest* newest = nullptr;
     for (const auto& [endpoint, listener] : level.listeners) {
       for (const auto& [address, client] : listener.clients) {
-        if (client.requests.empty())
+        if (client.requests.empty()) {
           continue;
-        if (!newest || client.requests.back().submitted > newest->submitted)
+        }
+        if (!newest || client.requests.back().submitted > newest->submitted) {
           newest = &client.requests.back();
+        }
       }
     }
-    if (newest)
+    if (newest) {
       return Remove(RequestKey(newest->request.key));
+    }
   }
   return std::nullopt;
 }
@@ -142,8 +154,9 @@
   }
   double ahead_ms = 0;
   for (const auto& [address, client] : listener.clients) {
-    if (client.requests.empty() || client.start > start)
+    if (client.requests.empty() || client.start > start) {
       continue;
+    }
     const double work_ms = client.requests.size() * mean_ms;
     ahead_ms += address == client_address
                     ? work_ms
@@ -157,12 +170,14 @@
                               uint32_t client_address) const {
   double ahead_ms = 0;
   for (const auto& [other, level] : m_levels) {
-    if (other < priority)
+    if (other < priority) {
       ahead_ms += level.work_ms;
+    }
   }
   const auto level = m_levels.find(priority);
-  if (level == m_levels.end())
+  if (level == m_levels.end()) {
     return ahead_ms;
+  }
   double start = level->second.virtual_time;
   const auto own = level->second.listeners.find(endpoint);
   if (own != level->second.listeners.end()) {
@@ -172,8 +187,9 @@
     ahead_ms += own_ahead_ms;
   }
   for (const auto& [other, listener] : level->second.listeners) {
-    if (other == endpoint || listener.count == 0 || listener.start > start)
+    if (other == endpoint || listener.count == 0 || listener.start > start) {
       continue;
+    }
     const double mean_ms = listener.work_ms / listener.count;
     ahead_ms += std::min(listener.work_ms, start - listener.start + mean_ms);
   }
@@ -201,12 +217,14 @@
   for (const auto& [endpoint, listener] : level.listeners) {
     ListenerCursor cursor{listener.start, {}};
     for (const auto& [address, client] : listener.clients) {
-      if (!client.requests.empty())
+      if (!client.requests.empty()) {
         cursor.clients.push_back({client.start, &client, 0});
+      }
     }
     std::ranges::make_heap(cursor.clients, std::greater<>());
-    if (!cursor.clients.empty())
+    if (!cursor.clients.empty()) {
       listeners.push_back(std::move(cursor));
+    }
   }
   while (!listeners.empty()) {
     const auto first = std::ranges::min_element(
@@ -217,35 +235,40 @@
     order.push_back(&request);
     first->start += request.work_ms;
     client.start += request.work_ms;
-    if (++client.next < client.client->requests.size())
+    if (++client.next < client.client->requests.size()) {
       std::ranges::push_heap(first->clients, std::greater<>());
-    else
+    } else {
       first->clients.pop_back();
-    if (first->clients.empty())
+    }
+    if (first->clients.empty()) {
       listeners.erase(first);
+    }
   }
 }
 
 std::vector<const WaitingRequest*> FairQueue::InOrder() const {
   std::vector<const WaitingRequest*> order;
   order.reserve(size());
-  for (const auto& [priority, level] : m_levels)
+  for (const auto& [priority, level] : m_levels) {
     AppendInOrder(level, order);
+  }
   return order;
 }
 
 double FairQueue::total_work_ms() const {
   double work_ms = 0;
-  for (const auto& [priority, level] : m_levels)
+  for (const auto& [priority, level] : m_levels) {
     work_ms += level.work_ms;
+  }
   return work_ms;
 }
 
 std::map<uint32_t, size_t> FairQueue::CountByPriority() const {
   std::map<uint32_t, size_t> counts;
   for (const auto& [priority, level] : m_levels) {
-    if (level.count > 0)
+    if (level.count > 0) {
       counts.emplace(priority, level.count);
+    }
   }
   return counts;
 }
--- a/src/libs/scheduling/listener_table.cc
+++ b/src/libs/scheduling/listener_table.cc
@@ -30,8 +30,9 @@
 constexpr double kDemandDecayPerWork = 4;
 
 ListenerTerms WithDefaults(ListenerTerms terms) {
-  if (terms.latency_target.count() <= 0)
+  if (terms.latency_target.count() <= 0) {
     terms.latency_target = kDefaultTarget;
+  }
   return terms;
 }
 
@@ -49,8 +50,9 @@
 }
 
 void ListenerState::AddSample(double work_ms, SteadyTime now) {
-  if (IsProbablyError(work_ms))
+  if (IsProbablyError(work_ms)) {
     return;
+  }
   work.Add(work_ms, now);
 }
 
@@ -88,8 +90,9 @@
     lowest_priority = std::max(lowest_priority, listener.priority);
     const auto known = m_listeners.find(listener.listener);
     ListenerState state(listener);
-    if (known != m_listeners.end())
+    if (known != m_listeners.end()) {
       state.work = std::move(known->second.work);
+    }
     state.Refresh(now);
     listeners.emplace(listener.listener, std::move(state));
   }
@@ -98,14 +101,16 @@
 }
 
 void ListenerTable::Refresh(SteadyTime now) {
-  for (auto& [endpoint, listener] : m_listeners)
+  for (auto& [endpoint, listener] : m_listeners) {
     listener.Refresh(now);
+  }
   m_unknown.Refresh(now);
   const double decay_ms =
       std::max(kMinDemandDecayMs, kDemandDecayPerWork * MeanWorkMs());
   // The rates stay the same.
-  for (auto& [priority, demand] : m_demand)
+  for (auto& [priority, demand] : m_demand) {
     demand.work_ms *= decay_ms / m_demand_decay_ms;
+  }
   m_demand_decay_ms = decay_ms;
 }
 
@@ -131,8 +136,9 @@
 double ListenerTable::DemandAbove(uint32_t priority, SteadyTime now) const {
   double work_ms = 0;
   for (const auto& [other, demand] : m_demand) {
-    if (other < priority)
+    if (other < priority) {
       work_ms += DecayedMs(demand, now);
+    }
   }
   return work_ms / m_demand_decay_ms;
 }
@@ -157,8 +163,9 @@
   std::vector<LearnedWork> learned;
   for (const auto& [endpoint, listener] : m_listeners) {
     const load::WorkEstimate estimate = listener.work.Estimate(now);
-    if (estimate.samples <= 0)
+    if (estimate.samples <= 0) {
       continue;
+    }
     learned.push_back({endpoint, estimate.mean_ms, estimate.median_ms,
                        estimate.p95_ms, estimate.samples});
   }
@@ -168,8 +175,9 @@
 void ListenerTable::Seed(const std::vector<LearnedWork>& work, SteadyTime now) {
   for (const LearnedWork& learned : work) {
     const auto found = m_listeners.find(learned.listener);
-    if (found == m_listeners.end())
+    if (found == m_listeners.end()) {
       continue;
+    }
     found->second.work.Seed({learned.mean_ms, learned.median_ms, learned.p95_ms,
                              learned.samples, now},
                             now);
--- a/src/libs/scheduling/pool_state.cc
+++ b/src/libs/scheduling/pool_state.cc
@@ -9,11 +9,6 @@
 using std::chrono::duration_cast;
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
-// Predictions closer than this are equal: their error is larger. Else the
-// upstreams whose learned speed is high by chance get most of the flows.
-constexpr double kTieFactor = 1.4;
-// Cold upstreams are slower by a factor of 1.6 to 3.
-constexpr double kColdSpeedFactor = 0.45;
 // The rest of a cold upstream's rate is for hosts that place flows themselves.
 constexpr double kColdRateShare = 0.6;
 // A single SYN without a response may be a lost packet, or a host that is late
@@ -36,10 +31,6 @@
   return time + duration_cast<SteadyTime::duration>(Milliseconds(ms));
 }
 
-bool IsListed(std::span<const uint64_t> ids, uint64_t id) {
-  return std::ranges::find(ids, id) != ids.end();
-}
-
 }  // namespace
 
 std::vector<OutstandingFlow> PoolState::Update(const Pool& pool,
@@ -59,8 +50,9 @@
       known->running.clear();
       // A limit that was at its end stays there if the slots change.
       const uint32_t pipeline = PipelineOf(slots, upstream.speed);
-      if (upstream.limit > upstream.pipeline || upstream.limit > pipeline + 1)
+      if (upstream.limit > upstream.pipeline || upstream.limit > pipeline + 1) {
         upstream.limit = pipeline + 1;
+      }
     } else {
       const bool is_cold = record.cold_until > now;
       upstream.limit =
@@ -73,8 +65,9 @@
     upstreams.push_back(std::move(upstream));
   }
   for (const Upstream& left : m_upstreams) {
-    for (const Running& running : left.running)
+    for (const Running& running : left.running) {
       ended.push_back(running.key);
+    }
   }
   m_upstreams = std::move(upstreams);
   m_index = std::move(index);
@@ -82,120 +75,30 @@
   m_cold_flows_per_second = pool.cold_flows_per_second;
   std::vector<OutstandingFlow> flows;
   for (const RequestKey& key : ended) {
-    if (auto node = m_flows.extract(key))
+    if (auto node = m_flows.extract(key)) {
       flows.push_back(std::move(node.mapped()));
+    }
   }
   return flows;
 }
 
-bool PoolState::IsUsable(const Upstream& upstream, SteadyTime now) const {
-  if (!upstream.record.accepts_new_flows)
-    return false;
-  return !upstream.is_failed || (now >= upstream.out_until && !upstream.trial);
-}
-
-bool PoolState::HasFreeSlot(const Upstream& upstream, SteadyTime now) const {
-  if (!IsUsable(upstream, now))
-    return false;
-  // A trial is made also beside flows that hang there.
-  if (upstream.is_failed)
-    return true;
-  if (upstream.running.size() >= std::min(upstream.limit, upstream.pipeline))
-    return false;
-  return upstream.record.cold_until <= now || m_cold_flows_per_second <= 0 ||
-         upstream.next_cold_grant <= now;
-}
-
-bool PoolState::HasExtraPlace(const Upstream& upstream, SteadyTime now) const {
-  return IsUsable(upstream, now) && !upstream.is_failed &&
-         upstream.record.cold_until <= now &&
-         upstream.running.size() == upstream.pipeline &&
-         upstream.limit > upstream.pipeline;
-}
-
-double PoolState::EffectiveSpeed(const Upstream& upstream,
-                                 SteadyTime now) const {
-  return upstream.record.cold_until > now ? upstream.speed * kColdSpeedFactor
-                                          : upstream.speed;
-}
-
-bool PoolState::MustAvoid(const Upstream& upstream,
-                          std::span<const uint64_t> excluded) const {
-  return !excluded.empty() && IsListed(excluded, upstream.record.id);
-}
-
-bool PoolState::HasAlternative(std::span<const uint64_t> excluded,
-                               SteadyTime now) const {
-  return std::ranges::any_of(m_upstreams, [&](const Upstream& upstream) {
-    return IsUsable(upstream, now) && !IsListed(excluded, upstream.record.id);
-  });
-}
-
-std::optional<uint64_t> PoolState::ChooseAmong(const PlaceDemand& demand,
-                                               bool is_extra,
-                                               bool obey_exclusions,
-                                               SteadyTime now) {
-  constexpr double kNone = -1;
-  double best_ms = kNone;
-  for (size_t i = 0; i < m_upstreams.size(); ++i) {
-    const Upstream& upstream = m_upstreams[i];
-    m_scratch[i] = kNone;
-    if (is_extra ? !HasExtraPlace(upstream, now) : !HasFreeSlot(upstream, now))
-      continue;
-    if (obey_exclusions && MustAvoid(upstream, demand.excluded))
-      continue;
-    // The same as load::PredictCompletionMs for at most one waiting flow, from
-    // a cached end, without a copy of the outstanding flows.
-    const double wait_ms =
-        is_extra ? std::max(MsBetween(now, upstream.earliest_end), 0.0) : 0;
-    const double completion_ms =
-        wait_ms + demand.work_ms / EffectiveSpeed(upstream, now);
-    if (completion_ms > demand.limit_ms)
-      continue;
-    m_scratch[i] = completion_ms;
-    if (best_ms == kNone || completion_ms < best_ms)
-      best_ms = completion_ms;
-  }
-  if (best_ms == kNone)
-    return std::nullopt;
-  m_ties.clear();
-  for (size_t i = 0; i < m_upstreams.size(); ++i) {
-    if (m_scratch[i] != kNone && m_scratch[i] <= best_ms * kTieFactor)
-      m_ties.push_back(i);
-  }
-  return m_upstreams[m_ties[m_random() % m_ties.size()]].record.id;
-}
-
-std::optional<uint64_t> PoolState::Choose(const PlaceDemand& demand,
-                                          SteadyTime now) {
-  const bool obey_exclusions =
-      !demand.excluded.empty() && HasAlternative(demand.excluded, now);
-  const auto slot = ChooseAmong(demand, false, obey_exclusions, now);
-  if (slot || !demand.allow_extra)
-    return slot;
-  return ChooseAmong(demand, true, obey_exclusions, now);
-}
-
-bool PoolState::HasPlace(SteadyTime now) const {
-  return std::ranges::any_of(m_upstreams, [&](const Upstream& upstream) {
-    return HasFreeSlot(upstream, now) || HasExtraPlace(upstream, now);
-  });
-}
-
 void PoolState::Add(OutstandingFlow flow, bool is_granted, SteadyTime now) {
   Upstream* upstream = FindUpstream(flow.upstream_id);
-  if (!upstream)
+  if (!upstream) {
     return;
+  }
   const bool has_slot = upstream->running.size() < upstream->slots;
   flow.is_granted = is_granted;
   flow.had_free_slot = is_granted && has_slot;
   if (!is_granted && !has_slot) {
     // Flows that were granted a free slot may have waited behind this one.
-    for (const Running& running : upstream->running)
+    for (const Running& running : upstream->running) {
       m_flows[running.key].had_free_slot = false;
+    }
   }
-  if (is_granted && upstream->is_failed)
+  if (is_granted && upstream->is_failed) {
     upstream->trial = flow.key;
+  }
   if (is_granted && upstream->record.cold_until > now &&
       m_cold_flows_per_second > 0) {
     const double rate =
@@ -214,13 +117,15 @@
 std::optional<OutstandingFlow> PoolState::Remove(const RequestKey& key,
                                                  SteadyTime now) {
   auto node = m_flows.extract(key);
-  if (!node)
+  if (!node) {
     return std::nullopt;
+  }
   if (Upstream* upstream = FindUpstream(node.mapped().upstream_id)) {
     std::erase_if(upstream->running,
                   [&](const Running& running) { return running.key == key; });
-    if (upstream->trial == key)
+    if (upstream->trial == key) {
       upstream->trial.reset();
+    }
     StartNext(*upstream, now);
     UpdateForecast(*upstream);
   }
@@ -230,11 +135,13 @@
 void PoolState::StartNext(Upstream& upstream, SteadyTime now) {
   size_t started_count = 0;
   for (Running& running : upstream.running) {
-    if (started_count == upstream.slots)
+    if (started_count == upstream.slots) {
       return;
+    }
     ++started_count;
-    if (running.is_started)
+    if (running.is_started) {
       continue;
+    }
     running.is_started = true;
     running.started = now;
     running.end = After(now, running.work_ms / EffectiveSpeed(upstream, now));
@@ -245,16 +152,18 @@
   upstream.earliest_end = SteadyTime::max();
   upstream.backlog_ms = 0;
   for (const Running& running : upstream.running) {
-    if (running.is_started)
+    if (running.is_started) {
       upstream.earliest_end = std::min(upstream.earliest_end, running.end);
-    else
+    } else {
       upstream.backlog_ms += running.work_ms;
+    }
   }
 }
 
 void PoolState::SetExpiry(const RequestKey& key, SteadyTime expires) {
-  if (const auto flow = m_flows.find(key); flow != m_flows.end())
+  if (const auto flow = m_flows.find(key); flow != m_flows.end()) {
     flow->second.expires = expires;
+  }
 }
 
 const OutstandingFlow* PoolState::Find(const RequestKey& key) const {
@@ -265,8 +174,9 @@
 std::vector<RequestKey> PoolState::KeysOf(const Ipv4Endpoint& host) const {
   std::vector<RequestKey> keys;
   for (const auto& [key, flow] : m_flows) {
-    if (key.host == host)
+    if (key.host == host) {
       keys.push_back(key);
+    }
   }
   return keys;
 }
@@ -274,22 +184,26 @@
 std::vector<RequestKey> PoolState::Expired(SteadyTime now) const {
   std::vector<RequestKey> keys;
   for (const auto& [key, flow] : m_flows) {
-    if (flow.expires <= now)
+    if (flow.expires <= now) {
       keys.push_back(key);
+    }
   }
   return keys;
 }
 
 void PoolState::RecordFailure(const OutstandingFlow& flow, SteadyTime now) {
   Upstream* upstream = FindUpstream(flow.upstream_id);
-  if (!upstream)
+  if (!upstream) {
     return;
+  }
   ++upstream->failure_count;
-  if (!upstream->is_failed && upstream->failure_count < kFailureThreshold)
+  if (!upstream->is_failed && upstream->failure_count < kFailureThreshold) {
     return;
+  }
   // Flows granted before the last failure tell nothing new.
-  if (upstream->is_failed && flow.granted <= upstream->last_failure)
+  if (upstream->is_failed && flow.granted <= upstream->last_failure) {
     return;
+  }
   upstream->back_off = upstream->is_failed
                            ? std::min(upstream->back_off * 2, kMaxBackOff)
                            : kMinBackOff;
@@ -300,11 +214,13 @@
 
 void PoolState::RecordSign(uint64_t upstream_id) {
   Upstream* upstream = FindUpstream(upstream_id);
-  if (!upstream)
+  if (!upstream) {
     return;
+  }
   upstream->failure_count = 0;
-  if (!upstream->is_failed)
+  if (!upstream->is_failed) {
     return;
+  }
   upstream->is_failed = false;
   upstream->trial.reset();
   upstream->limit = 1;
@@ -314,27 +230,32 @@
                                double response_ms,
                                SteadyTime now) {
   Upstream* upstream = FindUpstream(flow.upstream_id);
-  if (!upstream)
+  if (!upstream) {
     return;
+  }
   const bool was_failed = upstream->is_failed;
   RecordSign(flow.upstream_id);
-  if (!was_failed && upstream->limit <= upstream->pipeline)
+  if (!was_failed && upstream->limit <= upstream->pipeline) {
     ++upstream->limit;
+  }
   // A client may also be slow to send its request.
   const double handshake_ms =
       std::min(MsBetween(flow.granted, now) - response_ms, kMaxHandshakeMs);
-  if (response_ms > 0 && handshake_ms > 0 && flow.is_granted)
+  if (response_ms > 0 && handshake_ms > 0 && flow.is_granted) {
     m_handshake_ms += kHandshakeWeight * (handshake_ms - m_handshake_ms);
+  }
   if (!flow.had_free_slot || response_ms <= 0 ||
-      upstream->record.cold_until > flow.granted)
+      upstream->record.cold_until > flow.granted) {
     return;
+  }
   upstream->estimator.Add(flow.work_ms, WorkOf(response_ms), now);
   upstream->speed = upstream->estimator.Speed(now);
 }
 
 uint32_t PoolState::PipelineOf(uint32_t slots, double speed) const {
-  if (m_mean_work_ms <= 0)
+  if (m_mean_work_ms <= 0) {
     return slots;
+  }
   // An upstream's slots idle while its next requests are in transit.
   const double in_transit = slots * transit_ms() * speed / m_mean_work_ms;
   return slots + std::min(static_cast<uint32_t>(std::ceil(in_transit)),
@@ -345,8 +266,9 @@
   m_mean_work_ms = work_ms;
   for (Upstream& upstream : m_upstreams) {
     const uint32_t pipeline = PipelineOf(upstream.slots, upstream.speed);
-    if (pipeline == upstream.pipeline)
+    if (pipeline == upstream.pipeline) {
       continue;
+    }
     const bool is_warm = upstream.limit > upstream.pipeline;
     upstream.limit =
         is_warm ? pipeline + 1 : std::min(upstream.limit, pipeline + 1);
@@ -359,24 +281,28 @@
   double slots = 0;
   for (const Upstream& upstream : m_upstreams) {
     capacity.outstanding += upstream.running.size();
-    if (!upstream.record.accepts_new_flows)
+    if (!upstream.record.accepts_new_flows) {
       continue;
+    }
     capacity.has_usable |= IsUsable(upstream, now);
     capacity.has_cold |= upstream.record.cold_until > now;
-    if (upstream.is_failed)
+    if (upstream.is_failed) {
       continue;
+    }
     const uint32_t usable = std::min(upstream.limit, upstream.slots);
     const uint32_t usable_pipeline =
         std::min(upstream.limit, upstream.pipeline);
     capacity.places += upstream.pipeline;
     slots += usable;
     capacity.work_rate += usable * EffectiveSpeed(upstream, now);
-    if (HasFreeSlot(upstream, now))
+    if (HasFreeSlot(upstream, now)) {
       capacity.free_slots += usable_pipeline - upstream.running.size();
+    }
     capacity.backlog_ms += upstream.backlog_ms;
   }
-  if (slots > 0)
+  if (slots > 0) {
     capacity.mean_speed = capacity.work_rate / slots;
+  }
   return capacity;
 }
 
@@ -406,8 +332,9 @@
 
 void PoolState::SeedSpeed(const SpeedRecord& record, SteadyTime now) {
   Upstream* upstream = FindUpstream(record.upstream_id);
-  if (!upstream || upstream->record.started_unix_ms != record.started_unix_ms)
+  if (!upstream || upstream->record.started_unix_ms != record.started_unix_ms) {
     return;
+  }
   upstream->estimator.Seed(record.speed, record.samples, now);
   upstream->speed = upstream->estimator.Speed(now);
 }
--- a/src/libs/scheduling/pool_state.h
+++ b/src/libs/scheduling/pool_state.h
@@ -200,11 +200,13 @@
   for (Upstream& upstream : m_upstreams) {
     upstream.speed = upstream.estimator.Speed(now);
     const double speed = EffectiveSpeed(upstream, now);
-    if (IsUsable(upstream, now))
+    if (IsUsable(upstream, now)) {
       fastest_speed = std::max(fastest_speed, speed);
+    }
     for (Running& running : upstream.running) {
-      if (!running.is_started || running.end > now)
+      if (!running.is_started || running.end > now) {
         continue;
+      }
       const double elapsed_ms = Milliseconds(now - running.started).count();
       const auto flow = m_flows.find(running.key);
       const double left_ms =
--- a/src/libs/scheduling/recent_answers.cc
+++ b/src/libs/scheduling/recent_answers.cc
@@ -15,8 +15,9 @@
 std::optional<SchedulerAction> RecentAnswers::Find(
     const RequestKey& key) const {
   const auto entry = m_entries.find(key);
-  if (entry == m_entries.end())
+  if (entry == m_entries.end()) {
     return std::nullopt;
+  }
   return entry->second.answer;
 }
 
@@ -26,8 +27,9 @@
   const auto entry = m_entries.find(key);
   if (entry == m_entries.end() ||
       entry->second.answer.kind != SchedulerActionKind::kGrant ||
-      entry->second.answer.upstream_id != upstream_id)
+      entry->second.answer.upstream_id != upstream_id) {
     return false;
+  }
   entry->second.valid_until = now + kRetention;
   return true;
 }
--- a/src/libs/scheduling/service_scheduler.cc
+++ b/src/libs/scheduling/service_scheduler.cc
@@ -21,8 +21,9 @@
                                           const Completion& completion,
                                           SteadyTime now) {
   Withdraw(key);
-  if (HoldsPlaceOfError(key, completion, now))
+  if (HoldsPlaceOfError(key, completion, now)) {
     return;
+  }
   // A host that could not use a grant has placed the flow elsewhere, and
   // completes only the grant.
   const OutstandingFlow* known = pool.Find(key);
@@ -31,8 +32,9 @@
   auto flow = is_elsewhere ? std::nullopt : pool.Remove(key, now);
   if (!flow) {
     // A flow that its host placed, or a copy of the message.
-    if (answers.IsEnded(key, completion.upstream_id, now))
+    if (answers.IsEnded(key, completion.upstream_id, now)) {
       return;
+    }
     flow.emplace();
     flow->key = key;
     flow->upstream_id = completion.upstream_id;
@@ -42,10 +44,12 @@
   SchedulerAction answer = MakeAction(SchedulerActionKind::kGrant, key);
   answer.upstream_id = flow->upstream_id;
   answers.Record(answer, now);
-  if (completion.outcome == Outcome::kFailed)
+  if (completion.outcome == Outcome::kFailed) {
     pool.RecordFailure(*flow, now);
-  if (completion.outcome != Outcome::kResponded)
+  }
+  if (completion.outcome != Outcome::kResponded) {
     return;
+  }
   const double response_ms = Milliseconds(completion.response_time).count();
   if (flow->had_free_slot && response_ms > 0 &&
       !pool.IsCold(flow->upstream_id, now)) {
@@ -60,17 +64,20 @@
                                                 const Completion& completion,
                                                 SteadyTime now) {
   const OutstandingFlow* flow = pool.Find(key);
-  if (flow == nullptr || completion.outcome != Outcome::kResponded)
+  if (flow == nullptr || completion.outcome != Outcome::kResponded) {
     return false;
+  }
   const double response_ms = Milliseconds(completion.response_time).count();
   const ListenerState& listener = listeners.Find(flow->listener);
-  if (response_ms <= 0 || !listener.IsProbablyError(pool.WorkOf(response_ms)))
+  if (response_ms <= 0 || !listener.IsProbablyError(pool.WorkOf(response_ms))) {
     return false;
+  }
   const auto work = std::chrono::duration_cast<SteadyTime::duration>(
       Milliseconds(listener.estimate.mean_ms));
   const SteadyTime usual_end = flow->granted + work;
-  if (usual_end <= now)
+  if (usual_end <= now) {
     return false;
+  }
   pool.RecordSign(flow->upstream_id);
   pool.SetExpiry(key, usual_end);
   return true;
@@ -83,8 +90,9 @@
 
 void ServiceScheduler::State::Free(const RequestKey& key, SteadyTime now) {
   const auto flow = pool.Remove(key, now);
-  if (!flow)
+  if (!flow) {
     return;
+  }
   SchedulerAction answer = MakeAction(SchedulerActionKind::kGrant, key);
   answer.upstream_id = flow->upstream_id;
   answers.Record(answer, now);
@@ -99,16 +107,18 @@
                                         const OpenFlow& listed,
                                         SteadyTime now) {
   Withdraw(key);
-  if (answers.IsEnded(key, listed.upstream_id, now))
+  if (answers.IsEnded(key, listed.upstream_id, now)) {
     return;
+  }
   OutstandingFlow flow;
   flow.key = key;
   flow.upstream_id = listed.upstream_id;
   flow.granted = now - listed.age;
   flow.expires = listeners.Find({}).Expiry(flow.granted);
   flow.work_ms = listeners.MeanWorkMs();
-  if (flow.expires > now)
+  if (flow.expires > now) {
     pool.Add(std::move(flow), false, now);
+  }
 }
 
 void ServiceScheduler::State::Refresh(SteadyTime now) {
@@ -121,16 +131,20 @@
 }
 
 void ServiceScheduler::State::Sweep(SteadyTime now) {
-  if (now < next_sweep)
+  if (now < next_sweep) {
     return;
+  }
   next_sweep = now + kSweepInterval;
-  for (const RequestKey& key : pool.Expired(now))
+  for (const RequestKey& key : pool.Expired(now)) {
     Free(key, now);
+  }
   for (const auto& [host, silent_at] : hosts) {
-    if (silent_at > now)
+    if (silent_at > now) {
       continue;
-    for (const RequestKey& key : pool.KeysOf(host))
+    }
+    for (const RequestKey& key : pool.KeysOf(host)) {
       Forget(key, now);
+    }
   }
   std::erase_if(hosts, [now](const auto& host) { return host.second <= now; });
   queue.Purge();
@@ -156,8 +170,9 @@
 SchedulerActions ServiceScheduler::Submit(const PlacementRequest& request,
                                           SteadyTime now) {
   m_state->hosts[request.key.host] = now + kHostSilence;
-  if (m_state->AnswerDuplicate(request, now))
+  if (m_state->AnswerDuplicate(request, now)) {
     return m_state->TakeActions();
+  }
   WaitingRequest waiting = m_state->Prepare(request, now);
   m_state->listeners.RecordDemand(waiting.priority, waiting.work_ms, now);
   ++m_state->figures.by_priority[waiting.priority].submitted;
@@ -170,8 +185,9 @@
     const std::vector<Completion>& completions,
     SteadyTime now) {
   m_state->hosts[host] = now + kHostSilence;
-  for (const Completion& completion : completions)
+  for (const Completion& completion : completions) {
     m_state->CompleteOne({host, completion.token}, completion, now);
+  }
   m_state->GrantWaiting(now);
   return m_state->TakeActions();
 }
@@ -186,17 +202,20 @@
     const RequestKey key{host, flow.token};
     listed.insert(flow.token);
     const OutstandingFlow* known = m_state->pool.Find(key);
-    if (known && known->upstream_id == flow.upstream_id)
+    if (known && known->upstream_id == flow.upstream_id) {
       continue;
+    }
     // The host could not use the granted upstream.
-    if (known)
+    if (known) {
       m_state->pool.Remove(key, now);
+    }
     m_state->AddListed(key, flow, now);
   }
   for (const RequestKey& key : m_state->pool.KeysOf(host)) {
     if (!listed.contains(key.token) &&
-        m_state->pool.Find(key)->granted + kSnapshotGrace < now)
+        m_state->pool.Find(key)->granted + kSnapshotGrace < now) {
       m_state->Forget(key, now);
+    }
   }
   m_state->GrantWaiting(now);
   return m_state->TakeActions();
@@ -205,20 +224,23 @@
 void ServiceScheduler::RecordAnnouncement(const Announcement& announcement,
                                           SteadyTime now) {
   if (announcement.service == m_state->service &&
-      announcement.failure_domain != m_state->failure_domain)
+      announcement.failure_domain != m_state->failure_domain) {
     m_state->offers.Record(announcement, now);
+  }
 }
 
 SchedulerActions ServiceScheduler::OnForwardRefused(const RequestKey& key,
                                                     SteadyTime now) {
-  if (auto node = m_state->forwards.extract(key))
+  if (auto node = m_state->forwards.extract(key)) {
     m_state->Admit(std::move(node.mapped().waiting), now);
+  }
   return m_state->TakeActions();
 }
 
 void ServiceScheduler::OnForwardGranted(const RequestKey& key, SteadyTime now) {
-  if (m_state->forwards.erase(key) == 0)
+  if (m_state->forwards.erase(key) == 0) {
     return;
+  }
   m_state->answers.Record(MakeAction(SchedulerActionKind::kQueue, key), now);
 }
 
@@ -261,9 +283,10 @@
 LearnedMessage ServiceScheduler::ExportLearned(SteadyTime now) const {
   LearnedMessage learned;
   for (const auto& record : m_state->pool.Speeds(now)) {
-    if (record.samples > 0)
+    if (record.samples > 0) {
       learned.speeds.push_back({record.upstream_id, record.started_unix_ms,
                                 record.speed, record.samples});
+    }
   }
   learned.work = m_state->listeners.Learned(now);
   return learned;
@@ -281,8 +304,9 @@
 
 SchedulerFigures ServiceScheduler::figures() const {
   SchedulerFigures figures = m_state->figures;
-  for (const auto& [priority, count] : m_state->queue.CountByPriority())
+  for (const auto& [priority, count] : m_state->queue.CountByPriority()) {
     figures.by_priority[priority].waiting = count;
+  }
   return figures;
 }
 
--- a/src/libs/scheduling/spill.cc
+++ b/src/libs/scheduling/spill.cc
@@ -17,14 +17,16 @@
     return entry.second.valid_until < now;
   });
   const auto known = m_offers.find(announcement.failure_domain);
-  if (known == m_offers.end() && m_offers.size() >= kMaxDomains)
+  if (known == m_offers.end() && m_offers.size() >= kMaxDomains) {
     return;
+  }
   // Several hosts may pass on the same announcement.
   const bool is_copy = known != m_offers.end() &&
                        known->second.announcement == announcement &&
                        now < known->second.announced + kCopyWindow;
-  if (is_copy)
+  if (is_copy) {
     return;
+  }
   m_offers[announcement.failure_domain] = {announcement, now,
                                            now + kAnnouncementLife, 0};
 }
@@ -46,20 +48,24 @@
   Offer* best = nullptr;
   uint32_t best_left = 0;
   for (auto& [domain, offer] : m_offers) {
-    if (now > offer.valid_until)
+    if (now > offer.valid_until) {
       continue;
+    }
     const milliseconds offered_wait =
         offer.announcement.predicted_wait + kDomainRoundTrip;
-    if (offered_wait.count() >= wait_ms)
+    if (offered_wait.count() >= wait_ms) {
       continue;
+    }
     const uint32_t left = Allowance(offer, domain_count, now);
-    if (left <= best_left)
+    if (left <= best_left) {
       continue;
+    }
     best = &offer;
     best_left = left;
   }
-  if (!best)
+  if (!best) {
     return std::nullopt;
+  }
   ++best->forwarded;
   return best->announcement.scheduler;
 }
