Test of priorities: complete the flow with the time that its place was taken

The scheduler counted the rest as time in transit and, at its next tick, gave the upstream one more place, which the second request got.

--- a/tests/auto/entry/tst_flow_scheduling.cc
+++ b/tests/auto/entry/tst_flow_scheduling.cc
@@ -218,10 +218,14 @@
   REQUIRE_FALSE(host.IsDecided(low));
   REQUIRE_FALSE(scheduler.IsDecided(high));
   CHECK(scheduler.scheduling->figures().schedulers[0].waiting == 2);
+  // As long as the place was taken, or the rest would count as time in transit
+  // and give the upstream one more place.
   host.scheduling->OnCompleted(
-      {tokens[0], 1, scheduling::Outcome::kResponded, 50ms});
+      {tokens[0], 1, scheduling::Outcome::kResponded, 5s});
   REQUIRE(RunUntil(&context, 100ms, [&] { return scheduler.IsDecided(high); }));
   CHECK(scheduler.placed.contains(high));
+  CHECK_FALSE(host.placed.contains(low));
+  CHECK_FALSE(host.refused.contains(low));
   CHECK_FALSE(host.IsDecided(low));
 }
 
