Reset flows of an upstream only on a check that no load can fail

Timeouts of flows counted as proof as soon as another upstream answered in time, but uploads that wait for a slot are as silent as those of a dead upstream. And a check counted if the reference answered once, so two lost connections and one lucky reference sufficed, while other hosts were connected to the upstream.

Change: an upstream is presumed dead after a failed check only, registered or not.

--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -20,6 +20,7 @@
 #include "entry/metrics.h"
 #include "entry/packet_loop.h"
 #include "entry/peer_exchange.h"
+#include "entry/peer_probes.h"
 #include "entry/peer_socket.h"
 #include "entry/retry_gate.h"
 #include "entry/store_watcher.h"
@@ -64,6 +65,7 @@
                         [this](uint64_t upstream_id) {
                           packets.OnFailureReport(upstream_id);
                         }),
+        peer_probes(&peer_socket, &packets),
         scheduling(context,
                    &peer_socket,
                    &packets,
@@ -96,6 +98,7 @@
   VersionFloor version_floor;
   PeerSocket peer_socket;
   FailureReportChannel failure_reports;
+  PeerProbes peer_probes;
   FlowScheduling scheduling;
   std::vector<std::unique_ptr<StoreWatcher>> store_watchers;
   std::unique_ptr<PeerExchange> peer_exchange;
@@ -166,12 +169,16 @@
     m_components->placement->set_host_count(fleet.host_count);
     m_components->failure_reports.set_local_peers(fleet.local_peers);
     m_components->failure_reports.set_remote_peers(fleet.remote_peers);
+    m_components->peer_probes.SetPeers(fleet.local_peers, fleet.remote_peers);
     m_components->scheduling.SetLocalCandidates(MakeCandidates(fleet));
     m_components->scheduling.SetRemotePeers(fleet.remote_peers);
   };
   m_components->packets.set_on_upstream_failure([this](uint64_t upstream_id) {
     m_components->failure_reports.Broadcast(upstream_id);
   });
+  m_components->packets.set_on_upstream_doubt([this](uint64_t upstream_id) {
+    m_components->peer_probes.Ask(upstream_id);
+  });
   m_components->peer_socket.Start();
   m_components->peer_exchange = std::make_unique<PeerExchange>(
       m_context, &m_components->cluster_state, std::move(options));
--- a/src/libs/entry/packet_loop.h
+++ b/src/libs/entry/packet_loop.h
@@ -17,6 +17,7 @@
 #include "entry/entry_settings.h"
 #include "entry/flow_codec.h"
 #include "entry/flow_scheduling.h"
+#include "entry/peer_probes.h"
 #include "entry/refusal_log.h"
 #include "entry/upstream_checker.h"
 #include "flows/flows.h"
@@ -51,7 +52,8 @@
 
 // Reads packets from the socket, passes them to the steering and executes its
 // decisions.
-class PacketLoop : public FlowScheduling::Delegate {
+class PacketLoop : public FlowScheduling::Delegate,
+                   public PeerProbes::Delegate {
  public:
   PacketLoop(boost::asio::io_context* context,
              const EntrySettings& settings,
@@ -68,6 +70,12 @@
     m_on_upstream_failure = std::move(on_upstream_failure);
   }
 
+  // Sets the callback for upstreams that did not respond to the first attempt
+  // of a check, so that other hosts can be asked about them.
+  void set_on_upstream_doubt(std::function<void(uint64_t)> on_upstream_doubt) {
+    m_on_upstream_doubt = std::move(on_upstream_doubt);
+  }
+
   // Call at least four times per second, whether or not packets arrive: detects
   // stalls of this host.
   void Poll();
@@ -87,6 +95,11 @@
   void PlaceFlowLocally(uint32_t token) override;
   void RefuseFlow(uint32_t token, scheduling::RefusalReason reason) override;
 
+  // PeerProbes::Delegate:
+  void ProbeUpstream(uint64_t upstream_id,
+                     std::function<void(bool is_connected)> done) override;
+  void OnConnectedElsewhere(uint64_t upstream_id) override;
+
   // Handles held packets again after the cluster state has changed.
   void RetryHeldPackets();
 
@@ -148,6 +161,7 @@
   PacketCounts m_counts;
   flows::SteadyTime m_last_packet;
   std::function<void(uint64_t)> m_on_upstream_failure;
+  std::function<void(uint64_t)> m_on_upstream_doubt;
 };
 
 }  // namespace poplarsail::entry
--- a/src/libs/entry/upstream_checker.cc
+++ b/src/libs/entry/upstream_checker.cc
@@ -15,16 +15,17 @@
 
 }  // namespace
 
-// State of one check: consecutive attempts, the last one together with a
-// connection to the reference.
+// State of one check: consecutive attempts, each together with a connection to
+// the reference.
 struct UpstreamChecker::PendingCheck {
   uint64_t upstream_id = 0;
   model::Ipv4Endpoint endpoint;
   std::optional<model::Ipv4Endpoint> reference;
   // The deadlines of the attempts that are left, the next one last.
   std::vector<std::chrono::steady_clock::time_point> deadlines;
-  // The reference accepted or refused the connection.
+  // The reference accepted or refused the connection during this attempt.
   bool has_reference_responded = false;
+  bool is_connected_elsewhere = false;
 };
 
 // One connection attempt, closed as soon as its outcome is known.
@@ -51,18 +52,21 @@
 };
 
 UpstreamChecker::UpstreamChecker(boost::asio::io_context* context,
-                                 Callback callback)
-    : m_context(context), m_callback(std::move(callback)) {}
+                                 Callback callback,
+                                 DoubtCallback on_doubt)
+    : m_context(context),
+      m_callback(std::move(callback)),
+      m_on_doubt(std::move(on_doubt)) {}
 
 void UpstreamChecker::Check(uint64_t upstream_id,
                             const model::Ipv4Endpoint& endpoint,
                             const std::optional<model::Ipv4Endpoint>& reference,
                             std::chrono::milliseconds connect_timeout) {
-  if (m_running_checks >= kMaxChecks) {
+  if (m_checks.size() >= kMaxChecks || m_checks.contains(upstream_id)) {
     return;
   }
-  ++m_running_checks;
   auto check = std::make_shared<PendingCheck>();
+  m_checks[upstream_id] = check;
   check->upstream_id = upstream_id;
   check->endpoint = endpoint;
   check->reference = reference;
@@ -76,16 +80,44 @@
 void UpstreamChecker::StartAttempt(const std::shared_ptr<PendingCheck>& check) {
   const auto deadline = check->deadlines.back();
   check->deadlines.pop_back();
+  check->has_reference_responded = false;
   ConnectTo(check->endpoint, deadline, [this, check](CheckResult result) {
     HandleAttemptResult(check, result);
   });
   // Started after the attempt; the result counts only if it is known by the end
   // of the attempt.
-  if (check->deadlines.empty() && check->reference) {
-    ConnectTo(*check->reference, deadline, [check](CheckResult result) {
-      check->has_reference_responded =
-          result == CheckResult::kConnected || result == CheckResult::kRefused;
-    });
+  if (!check->reference) {
+    return;
+  }
+  const size_t attempts_left = check->deadlines.size();
+  ConnectTo(*check->reference, deadline,
+            [check, attempts_left](CheckResult result) {
+              const bool is_current = check->deadlines.size() == attempts_left;
+              const bool has_responded = result == CheckResult::kConnected ||
+                                         result == CheckResult::kRefused;
+              check->has_reference_responded |= is_current && has_responded;
+            });
+}
+
+void UpstreamChecker::Probe(const model::Ipv4Endpoint& endpoint,
+                            std::chrono::milliseconds connect_timeout,
+                            std::function<void(bool is_connected)> done) {
+  if (m_running_probes >= kMaxProbes) {
+    done(false);
+    return;
+  }
+  ++m_running_probes;
+  ConnectTo(endpoint, std::chrono::steady_clock::now() + connect_timeout,
+            [this, done = std::move(done)](CheckResult result) {
+              --m_running_probes;
+              done(result == CheckResult::kConnected);
+            });
+}
+
+void UpstreamChecker::RecordConnectionElsewhere(uint64_t upstream_id) {
+  const auto check = m_checks.find(upstream_id);
+  if (check != m_checks.end()) {
+    check->second->is_connected_elsewhere = true;
   }
 }
 
@@ -117,16 +149,20 @@
 void UpstreamChecker::HandleAttemptResult(
     const std::shared_ptr<PendingCheck>& check,
     CheckResult result) {
+  if (result == CheckResult::kNoResponse) {
+    if (check->reference && !check->has_reference_responded) {
+      result = CheckResult::kInconclusive;
+    } else if (check->is_connected_elsewhere) {
+      result = CheckResult::kConnectedElsewhere;
+    }
+  }
   if (result == CheckResult::kNoResponse && !check->deadlines.empty()) {
+    m_on_doubt(check->upstream_id);
     StartAttempt(check);
     return;
   }
-  --m_running_checks;
-  const bool is_inconclusive = result == CheckResult::kNoResponse &&
-                               check->reference &&
-                               !check->has_reference_responded;
-  m_callback(check->upstream_id,
-             is_inconclusive ? CheckResult::kInconclusive : result);
+  m_checks.erase(check->upstream_id);
+  m_callback(check->upstream_id, result);
 }
 
 }  // namespace poplarsail::entry
--- a/src/libs/flows/liveness.cc
+++ b/src/libs/flows/liveness.cc
@@ -6,6 +6,7 @@
 
 void Liveness::RecordResponse(SteadyTime now) {
   m_last_response = now;
+  m_presumed_dead_until = SteadyTime();
   m_is_refusing = false;
   m_is_reported = false;
   m_timeouts = 0;
@@ -15,6 +16,7 @@
 void Liveness::RecordConnection(SteadyTime now) {
   const bool had_timeouts = m_timeouts > 0 || m_is_reported;
   m_last_response = now;
+  m_presumed_dead_until = SteadyTime();
   m_is_refusing = false;
   m_is_reported = false;
   m_timeouts = 0;
@@ -37,11 +39,7 @@
   if (m_last_response > sent) {
     return;
   }
-  if (m_timeouts == 0) {
-    m_first_timeout = now;
-  }
   ++m_timeouts;
-  m_last_timeout = now;
   m_next_trial = now + kTrialDelay;
 }
 
@@ -51,24 +49,18 @@
 }
 
 void Liveness::RecordFailedCheck(SteadyTime now) {
-  m_timeouts = std::max(m_timeouts, kPresumedDeadThreshold);
-  m_first_timeout = std::min(m_first_timeout, now - kPresumedDeadMinSpan);
-  m_last_timeout = now;
-  m_last_failed_check = now;
+  m_timeouts = std::max(m_timeouts, kSuspectThreshold);
+  m_presumed_dead_until = now + kPresumedDeadDuration;
   m_syn_timeouts = std::max(m_syn_timeouts, kSuspectThreshold);
   m_next_trial = now + kTrialDelay;
 }
 
 Health Liveness::health(SteadyTime now) const {
-  if (!HasRepeatedTimeouts()) {
-    return m_is_reported ? Health::kSuspect : Health::kHealthy;
+  if (now < m_presumed_dead_until) {
+    return Health::kPresumedDead;
   }
-  const bool is_spread =
-      m_last_timeout - m_first_timeout >= kPresumedDeadMinSpan;
-  const bool is_recent = now - m_last_timeout < kPresumedDeadDuration;
-  return m_timeouts >= kPresumedDeadThreshold && is_spread && is_recent
-             ? Health::kPresumedDead
-             : Health::kSuspect;
+  return m_timeouts >= kSuspectThreshold || m_is_reported ? Health::kSuspect
+                                                          : Health::kHealthy;
 }
 
 bool Liveness::IsUnrestricted(SteadyTime now) const {
--- a/src/libs/flows/liveness.h
+++ b/src/libs/flows/liveness.h
@@ -13,23 +13,23 @@
 // Timeouts since the last response after which new flows avoid an upstream. A
 // single timeout may be a lost packet.
 inline constexpr uint32_t kSuspectThreshold = 2;
-// Timeouts since the last response after which the upstream is presumed dead
-// and its open flows are reset.
-inline constexpr uint32_t kPresumedDeadThreshold = 4;
-// Minimum time between the first and the last of these timeouts, so that a
-// burst of packet loss is not taken for a crash.
-inline constexpr milliseconds kPresumedDeadMinSpan{150};
-// How long an upstream is presumed dead after its last timeout or failed check.
-// Packets are then forwarded again, and one more timeout renews the
-// presumption, because a failure domain that was disconnected comes back
-// without notice.
+// How long an upstream is presumed dead after a failed check. Packets are then
+// forwarded again, and the next timeout causes another check, because a failure
+// domain that was disconnected comes back without notice.
 inline constexpr milliseconds kPresumedDeadDuration{2'000};
 // After this time without further evidence of a failure a single attempt may
 // use the upstream. The registration of a crashed upstream expires within this
 // time.
 inline constexpr milliseconds kTrialDelay{1'500};
 
-enum class Health : uint8_t { kHealthy, kSuspect, kPresumedDead };
+enum class Health : uint8_t {
+  kHealthy,
+  // New flows avoid it.
+  kSuspect,
+  // A check failed: its open flows are reset. Timeouts alone never show this,
+  // since an upstream whose slots are all taken is as silent as a dead one.
+  kPresumedDead,
+};
 
 // What a check of an upstream by a connection showed.
 enum class CheckOutcome : uint8_t {
@@ -87,23 +87,14 @@
   bool is_refusing() const { return m_is_refusing; }
   // Whether a flow of this host timed out since the last response.
   bool has_timeouts() const { return m_timeouts > 0; }
-  // Whether this host's own flows and checks make the upstream suspect.
-  bool HasRepeatedTimeouts() const { return m_timeouts >= kSuspectThreshold; }
   SteadyTime last_response() const { return m_last_response; }
-  SteadyTime first_timeout() const { return m_first_timeout; }
-  // Whether a check failed within kPresumedDeadDuration.
-  bool HasRecentFailedCheck(SteadyTime now) const {
-    return now - m_last_failed_check < kPresumedDeadDuration;
-  }
 
  private:
   bool IsUnrestricted(SteadyTime now) const;
 
   SteadyTime m_last_response;
-  SteadyTime m_first_timeout;
-  SteadyTime m_last_timeout;
   SteadyTime m_next_trial;
-  SteadyTime m_last_failed_check;
+  SteadyTime m_presumed_dead_until;
   bool m_is_refusing = false;
   // Another host has reported it since the last response.
   bool m_is_reported = false;
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -55,7 +55,8 @@
   upstream = FindPinnedUpstream(packet, flow, upstream);
   const auto response_deadline =
       flow == nullptr ? std::nullopt : TrackPacket(packet, flow, upstream, now);
-  if (IsPresumedDead(*upstream, now) && !packet.is_rst) {
+  const bool is_dead = upstream->liveness.health(now) == Health::kPresumedDead;
+  if (is_dead && !packet.is_rst) {
     return {Action::kReset, Reason::kUpstreamDead, upstream};
   }
   return {Action::kForward, Reason::kTagged, upstream,
@@ -224,9 +225,6 @@
     m_handshake_times.Add(time);
     m_response_timeouts.RecordHandshake(upstream->record.failure_domain, time);
   }
-  if (now <= flow->response_deadline) {
-    m_last_timely_response = now;
-  }
 }
 
 void Steering::SetAwaitingResponse(FlowRecord* flow,
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -240,7 +240,6 @@
   // Whether a refused connection shows that the flows of the upstream have
   // ended.
   bool DoesRefusalEndFlows(const Upstream& upstream, SteadyTime now) const;
-  bool IsPresumedDead(const Upstream& upstream, SteadyTime now) const;
   // `upstream` is the upstream of `flow`.
   static void SetAwaitingResponse(FlowRecord* flow,
                                   Upstream* upstream,
@@ -257,8 +256,6 @@
   telemetry::LatencyHistogram m_response_times;
   bool m_has_complete_state = false;
   bool m_are_registrations_current = true;
-  // When a response last came before its deadline.
-  SteadyTime m_last_timely_response;
   std::chrono::milliseconds m_flow_idle_timeout{kDefaultFlowIdleTimeout};
 };
 
--- a/src/libs/flows/steering_checks.cc
+++ b/src/libs/flows/steering_checks.cc
@@ -157,19 +157,6 @@
          silence >= m_response_timeouts.RequestTimeout(upstream.record.service);
 }
 
-bool Steering::IsPresumedDead(const Upstream& upstream, SteadyTime now) const {
-  const Liveness& liveness = upstream.liveness;
-  const Health health = liveness.health(now);
-  if (health == Health::kSuspect) {
-    return upstream.is_unregistered && liveness.HasRepeatedTimeouts();
-  }
-  // Timeouts alone prove nothing while no other upstream responds in time
-  // either: this host's own link or CPU may be overloaded.
-  const bool is_confirmed = liveness.HasRecentFailedCheck(now) ||
-                            m_last_timely_response >= liveness.first_timeout();
-  return health == Health::kPresumedDead && is_confirmed;
-}
-
 const Upstream* Steering::FindReferenceUpstream(const Upstream& checked) const {
   const Upstream* reference = nullptr;
   for (const auto& [id, upstream] : m_routing_table.upstreams()) {
