--- a/src/libs/entry/peer_probes.cc
+++ b/src/libs/entry/peer_probes.cc
@@ -21,10 +21,11 @@
 
 PeerProbes::PeerProbes(PeerSocket* socket, Delegate* delegate)
     : m_socket(socket), m_delegate(delegate) {
-  m_socket->SetHandler(kProbeVersion, [this](const model::Ipv4Endpoint& sender,
-                                             std::span<const uint8_t> datagram) {
-    HandleDatagram(sender, datagram);
-  });
+  m_socket->SetHandler(kProbeVersion,
+                       [this](const model::Ipv4Endpoint& sender,
+                              std::span<const uint8_t> datagram) {
+                         HandleDatagram(sender, datagram);
+                       });
 }
 
 PeerProbes::~PeerProbes() {
--- a/tests/auto/entry/tst_upstream_checker.cc
+++ b/tests/auto/entry/tst_upstream_checker.cc
@@ -3,6 +3,8 @@
 #include "entry/upstream_checker.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <list>
 #include <memory>
 #include <optional>
@@ -35,6 +37,16 @@
     return {m_endpoint.address().to_v4().to_uint(), m_endpoint.port()};
   }
 
+  // Empties the accept queue of a silent port, which then answers.
+  void StartAnswering() {
+    m_acceptor.non_blocking(true);
+    boost::system::error_code error;
+    while (!error) {
+      m_accepted.emplace_back(m_acceptor.get_executor());
+      m_acceptor.accept(m_accepted.back(), error);
+    }
+  }
+
  private:
   // Fills the accept queue, so that further connections stay unanswered.
   void FillQueue(boost::asio::io_context* context) {
@@ -48,20 +60,33 @@
   tcp::acceptor m_acceptor;
   tcp::endpoint m_endpoint;
   std::list<tcp::socket> m_pending;
+  std::list<tcp::socket> m_accepted;
 };
 
-CheckResult Check(boost::asio::io_context* context,
-                  const Port& upstream,
-                  const Port* reference) {
+constexpr std::chrono::milliseconds kConnectTimeout{45};
+
+// `on_doubt` is called with the checker after the first attempt without a
+// response.
+CheckResult Check(
+    boost::asio::io_context* context,
+    const Port& upstream,
+    const Port* reference,
+    const std::function<void(UpstreamChecker*)>& on_doubt = nullptr) {
   context->restart();
   std::optional<CheckResult> result;
+  UpstreamChecker* started = nullptr;
   UpstreamChecker checker(
       context, [&](uint64_t, CheckResult found) { result = found; },
-      [](uint64_t) {});
+      [&](uint64_t) {
+        if (on_doubt) {
+          on_doubt(started);
+        }
+      });
+  started = &checker;
   checker.Check(1, upstream.endpoint(),
                 reference == nullptr ? std::nullopt
                                      : std::optional(reference->endpoint()),
-                std::chrono::milliseconds(45));
+                kConnectTimeout);
   while (!result) {
     REQUIRE(context->run_one() > 0);
   }
@@ -91,5 +116,64 @@
   }
 }
 
+// Two lost connections and one that got through, of a host with a full link,
+// ended the flows of an upstream to which 28 other hosts were connected
+// (zlab-west-grown, crowded).
+TEST_CASE("The reference has to answer during each attempt") {
+  boost::asio::io_context context;
+  const Port silent(&context, Port::Kind::kSilent);
+  Port late(&context, Port::Kind::kSilent);
+  boost::asio::steady_timer opening(context);
+  opening.expires_after(kConnectTimeout + std::chrono::milliseconds(5));
+  opening.async_wait(
+      [&](const boost::system::error_code&) { late.StartAnswering(); });
+  CHECK(Check(&context, silent, &late) == CheckResult::kInconclusive);
+}
+
+TEST_CASE("A check without an answer fails only if nobody else is connected") {
+  boost::asio::io_context context;
+  const Port silent(&context, Port::Kind::kSilent);
+  const Port answers(&context, Port::Kind::kAnswers);
+  CheckResult result = CheckResult::kInconclusive;
+  while (result == CheckResult::kInconclusive) {
+    result = Check(&context, silent, &answers, [](UpstreamChecker* checker) {
+      checker->RecordConnectionElsewhere(2);
+      checker->RecordConnectionElsewhere(1);
+    });
+  }
+  CHECK(result == CheckResult::kConnectedElsewhere);
+  // Another upstream's connection proves nothing about this one.
+  result = CheckResult::kInconclusive;
+  while (result == CheckResult::kInconclusive) {
+    result = Check(&context, silent, &answers, [](UpstreamChecker* checker) {
+      checker->RecordConnectionElsewhere(2);
+    });
+  }
+  CHECK(result == CheckResult::kNoResponse);
+}
+
+TEST_CASE("A probe tells whether the upstream accepts a connection") {
+  boost::asio::io_context context;
+  const Port answers(&context, Port::Kind::kAnswers);
+  const Port refuses(&context, Port::Kind::kRefuses);
+  const Port silent(&context, Port::Kind::kSilent);
+  UpstreamChecker checker(
+      &context, [](uint64_t, CheckResult) {}, [](uint64_t) {});
+  const auto probe = [&](const Port& port) {
+    context.restart();
+    std::optional<bool> connected;
+    checker.Probe(port.endpoint(), kConnectTimeout,
+                  [&](bool is_connected) { connected = is_connected; });
+    while (!connected) {
+      REQUIRE(context.run_one() > 0);
+    }
+    return *connected;
+  };
+  while (!probe(answers)) {
+  }
+  CHECK_FALSE(probe(refuses));
+  CHECK_FALSE(probe(silent));
+}
+
 }  // namespace
 }  // namespace poplarsail::entry
