Refuse new flows of the lowest priority while upstreams refuse requests

A host can't refuse a request on an open flow; the upstream does (503), and its client comes back on a new flow, up to twice. Half of all arrivals were refused, first requests waited behind returning ones, and upstreams reached their limit of connections.

Refusing by in-flight counts or response times: served and refused requests take alike long there, since the upstream's queue is shorter than the latency target.

Change: hosts recognize refusals by the size of the answer that a client acknowledges, keep their share by upstream and service (half-life 250 ms), and admit (0.1 / share)^2 of the new flows of a service's lowest priority. What is refused was never forwarded, so it has not run. Copies of a SYN are not refused, since another host may have forwarded the first.

--- a/src/libs/flows/flow_table.h
+++ b/src/libs/flows/flow_table.h
@@ -41,6 +41,10 @@
   bool is_timeout_recorded = false;
   uint32_t sequence_end = 0;
   uint32_t ack_number = 0;
+  // A request was sent of whose answer nothing has been acknowledged, and the
+  // acknowledgement number before it.
+  bool is_answer_expected = false;
+  uint32_t answer_start = 0;
 
   friend bool operator==(const FlowRecord&, const FlowRecord&) = default;
 };
--- a/src/libs/flows/flows.h
+++ b/src/libs/flows/flows.h
@@ -2,6 +2,7 @@
 #ifndef FLOWS_FLOWS_H_
 #define FLOWS_FLOWS_H_
 
+#include "flows/flow_admission.h"
 #include "flows/flow_packet.h"
 #include "flows/flow_scheduler.h"
 #include "flows/flow_table.h"
--- a/src/libs/flows/routing_table.cc
+++ b/src/libs/flows/routing_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 #include <xxhash.h>
@@ -114,6 +115,28 @@
       m_services[share.service].record.name = share.service;
     }
   }
+  RankListeners();
+}
+
+void RoutingTable::RankListeners() {
+  // Without a stated priority the requests are the least urgent.
+  const auto priority = [](const Listener& listener) {
+    return listener.record.priority.value_or(
+        std::numeric_limits<uint32_t>::max());
+  };
+  std::unordered_map<std::string, uint32_t> lowest;
+  for (const auto& [endpoint, listener] : m_listeners) {
+    for (const cluster_state::ServiceShare& share : listener.record.shares) {
+      uint32_t& value = lowest[share.service];
+      value = std::max(value, priority(listener));
+    }
+  }
+  for (auto& [endpoint, listener] : m_listeners) {
+    for (const cluster_state::ServiceShare& share : listener.record.shares) {
+      listener.has_lowest_priority &=
+          priority(listener) >= lowest[share.service];
+    }
+  }
 }
 
 void RoutingTable::UpdateUpstreams(
--- a/src/libs/flows/routing_table.h
+++ b/src/libs/flows/routing_table.h
@@ -10,6 +10,7 @@
 #include "cluster_state/cluster_state.h"
 #include "flows/flow_packet.h"
 #include "flows/liveness.h"
+#include "load/load.h"
 
 namespace poplarsail::flows {
 
@@ -38,6 +39,8 @@
   bool has_start_load = false;
   // Moving average of the time to the first packet of a response.
   double response_ms = 0;
+  // Requests that the upstream refused.
+  load::RefusalShare refusals;
   SteadyTime check_started;
   // The last check was triggered by another host's failure report, so the peers
   // already know of the failure.
@@ -70,6 +73,8 @@
 struct Listener {
   cluster_state::ListenerRecord record;
   uint32_t weight_sum = 0;
+  // No listener that shares a service with this one has a lower priority.
+  bool has_lowest_priority = true;
 };
 
 // Time constant of the decay of recent placements. A flow of one request ends
@@ -107,6 +112,7 @@
   void Rebuild(const cluster_state::ClusterState& cluster_state,
                SteadyTime now);
   void UpdateListeners(const cluster_state::Configuration& configuration);
+  void RankListeners();
   void UpdateUpstreams(const cluster_state::ClusterState& cluster_state,
                        SteadyTime now);
   void ApplyUpstreamChange(const cluster_state::ClusterState& cluster_state,
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -159,9 +159,12 @@
       packet.data_bytes > 0 &&
       (!flow->is_established ||
        static_cast<int32_t>(end - flow->sequence_end) > 0);
+  RecordAnswer(packet, flow, upstream, now);
   if (has_new_data) {
     if (!flow->is_awaiting_response || flow->request_count == 0) {
       CountRequest(packet.key, flow);
+      flow->is_answer_expected = true;
+      flow->answer_start = packet.ack_number;
     }
     flow->sequence_end = end;
     AwaitResponse(flow, upstream,
@@ -185,6 +188,20 @@
   return has_new_data ? std::optional(flow->response_deadline) : std::nullopt;
 }
 
+void Steering::RecordAnswer(const FlowPacket& packet,
+                            FlowRecord* flow,
+                            Upstream* upstream,
+                            SteadyTime now) {
+  const auto bytes =
+      static_cast<int32_t>(packet.ack_number - flow->answer_start);
+  if (!flow->is_answer_expected || bytes <= 0 || bytes > kSequenceWindow) {
+    return;
+  }
+  flow->is_answer_expected = false;
+  m_admission.RecordAnswer(packet.key.listener, upstream,
+                           static_cast<uint32_t>(bytes), now);
+}
+
 void Steering::AwaitResponse(FlowRecord* flow,
                              Upstream* upstream,
                              milliseconds timeout,
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "cluster_state/cluster_state.h"
+#include "flows/flow_admission.h"
 #include "flows/flow_packet.h"
 #include "flows/flow_scheduler.h"
 #include "flows/flow_table.h"
@@ -61,7 +62,8 @@
   kScheduled,
   // Retransmission of a SYN that waits for the scheduler.
   kHeld,
-  // The scheduler refused the flow.
+  // The scheduler refused the flow, or the service takes few new flows because
+  // its upstreams refuse requests.
   kNoRoom,
 };
 inline constexpr size_t kReasonCount = 13;
@@ -226,6 +228,13 @@
                                         FlowRecord* flow,
                                         Upstream* upstream,
                                         SteadyTime now);
+  // Records how much of an answer its first acknowledgement covers.
+  void RecordAnswer(const FlowPacket& packet,
+                    FlowRecord* flow,
+                    Upstream* upstream,
+                    SteadyTime now);
+  // Resets a new flow and remembers it as closed.
+  Decision RefuseFlow(FlowRecord* flow, Reason reason, SteadyTime now);
   Upstream* FindPinnedUpstream(const FlowPacket& packet,
                                const FlowRecord* flow,
                                Upstream* tagged);
@@ -248,6 +257,7 @@
   void AttachFlow(FlowRecord* flow, Upstream* upstream);
 
   std::unique_ptr<Placement> m_placement;
+  FlowAdmission m_admission;
   FlowScheduler* m_scheduler = nullptr;
   RoutingTable m_routing_table;
   FlowTable m_flows;
--- a/src/libs/flows/steering_placement.cc
+++ b/src/libs/flows/steering_placement.cc
@@ -60,6 +60,11 @@
   if (chosen == nullptr) {
     return {Action::kReset, Reason::kNoUpstream};
   }
+  // A copy may follow one that another host has already forwarded.
+  const bool is_first = !is_retransmit && packet.retransmit_count == 0;
+  if (is_first && !m_admission.Admits(listener, *chosen, now)) {
+    return RefuseFlow(flow, Reason::kNoRoom, now);
+  }
   if (flow != nullptr) {
     const uint64_t previous_upstream_id = is_retransmit ? flow->upstream_id : 0;
     const SteadyTime previous_sent = flow->awaiting_response_since;
@@ -203,12 +208,16 @@
                                   Reason reason,
                                   SteadyTime now) {
   FlowRecord* flow = FindHeldFlow(syn, token);
-  if (flow == nullptr) {
-    return {Action::kDrop, Reason::kHeld};
+  return flow == nullptr ? Decision{Action::kDrop, Reason::kHeld}
+                         : RefuseFlow(flow, reason, now);
+}
+
+Decision Steering::RefuseFlow(FlowRecord* flow, Reason reason, SteadyTime now) {
+  if (flow != nullptr) {
+    StartRecord(flow);
+    flow->is_closed = true;
+    flow->last_packet = now;
   }
-  *flow = FlowRecord{};
-  flow->is_closed = true;
-  flow->last_packet = now;
   return {Action::kReset, reason};
 }
 
--- a/src/tools/emulator/clients.cc
+++ b/src/tools/emulator/clients.cc
@@ -26,6 +26,8 @@
 // is the request rate times this; each keeps one flow open.
 constexpr double kThinkTimeSeconds = 2.0;
 constexpr size_t kRequestBytes = 100;
+constexpr uint32_t kResponseBytes = 2'000;
+constexpr uint32_t kRejectionBytes = 150;
 // Number of client addresses of scheduled services.
 constexpr uint32_t kClientAddresses = 512;
 
@@ -184,7 +186,19 @@
     Finish(request, ending);
     return;
   }
-  StartAttempt(request);
+  // Without a delay at once, not as an event of its own.
+  if (m_scenario.retry_delay.count() == 0) {
+    StartAttempt(request);
+    return;
+  }
+  const double jitter = 0.5 + UniformRandom(&m_random);
+  m_events->ScheduleAfter(std::chrono::duration_cast<SteadyTime::duration>(
+                              m_scenario.retry_delay * jitter),
+                          [this, request]() {
+                            if (!request->is_finished) {
+                              StartAttempt(request);
+                            }
+                          });
 }
 
 void Clients::Finish(const std::shared_ptr<Request>& request, Ending ending) {
@@ -343,8 +357,8 @@
   const auto request = std::exchange(flow->request, nullptr);
   const bool is_late = request->is_finished;
   flow->sequence += kRequestBytes;
-  flow->ack_number += kRequestBytes;
   const bool was_processed = kind == ResponseKind::kProcessed;
+  flow->ack_number += was_processed ? kResponseBytes : kRejectionBytes;
   const bool reuses_flow = m_scenario.kinds[flow->kind].reuses_flows;
   if (!reuses_flow || closes_flow || is_late || !was_processed) {
     SendFin(flow);
--- a/src/tools/emulator/fleet.cc
+++ b/src/tools/emulator/fleet.cc
@@ -74,7 +74,7 @@
 
 std::vector<cluster_state::ListenerRecord> Fleet::MakeListeners() const {
   std::vector<cluster_state::ListenerRecord> listeners;
-  if (!m_scenario.is_schedulable) {
+  if (!m_scenario.StatesTerms()) {
     for (size_t i = 0; i < m_scenario.services.size(); ++i) {
       const std::string& name = m_scenario.services[i].name;
       listeners.push_back({name, ListenerEndpoint(i), {{name, 1}}, {}, {}, {}});
--- a/src/tools/emulator/load_report.cc
+++ b/src/tools/emulator/load_report.cc
@@ -62,11 +62,14 @@
   std::vector<std::vector<RequestOutcome>> by_kind(scenario.kinds.size());
   std::vector<double> refusal_ms;
   std::chrono::duration<double> answered_work{0};
+  std::chrono::duration<double> work_in_target{0};
   for (const RequestOutcome& outcome : outcomes) {
     const SteadyTime finished = outcome.begin + outcome.duration;
     if (outcome.ending == Ending::kAnswered &&
         finished >= scenario.busy_begin && finished < scenario.busy_end) {
       answered_work += outcome.work;
+      work_in_target +=
+          outcome.utility == 1 ? outcome.work : SteadyTime::duration::zero();
     }
     if (outcome.begin < scenario.busy_begin ||
         outcome.begin >= scenario.busy_end) {
@@ -91,6 +94,7 @@
   const std::chrono::duration<double> length =
       scenario.busy_end - scenario.busy_begin;
   report.goodput = answered_work / length / begin.capacity;
+  report.goodput_in_target = work_in_target / length / begin.capacity;
   report.busiest_over_mean = BusiestOverMean(begin, end);
   report.refusal_p99_ms = Percentile(std::move(refusal_ms), 99);
   return report;
--- a/src/tools/emulator/load_report.h
+++ b/src/tools/emulator/load_report.h
@@ -32,6 +32,8 @@
   // Work of the requests answered before their timeouts, relative to the
   // capacity of the upstreams.
   double goodput = 0;
+  // The same for requests answered within their latency targets.
+  double goodput_in_target = 0;
   // Work by speed of the busiest upstream, relative to the mean.
   double busiest_over_mean = 0;
   double refusal_p99_ms = 0;
--- a/src/tools/emulator/main.cc
+++ b/src/tools/emulator/main.cc
@@ -33,17 +33,27 @@
   return items;
 }
 
+std::vector<Scenario> ScenariosOf(const std::string& set) {
+  if (set == "standard") {
+    return StandardScenarios();
+  }
+  if (set == "load") {
+    return LoadScenarios();
+  }
+  if (set == "mixed") {
+    return MixedScenarios();
+  }
+  throw std::invalid_argument(
+      fmt::format("Unknown set of scenarios \"{}\"", set));
+}
+
 int Emulate(const cxxopts::ParseResult& arguments) {
   std::vector<Result> results;
   const auto set = arguments["set"].as<std::string>();
-  if (set != "standard" && set != "load") {
-    throw std::invalid_argument(
-        fmt::format("Unknown set of scenarios \"{}\"", set));
-  }
   const bool is_load_set = set == "load";
-  for (const Scenario& scenario :
-       FilterByName(is_load_set ? LoadScenarios() : StandardScenarios(),
-                    arguments["scenario"].as<std::string>())) {
+  const bool has_load_table = set != "standard";
+  for (const Scenario& scenario : FilterByName(
+           ScenariosOf(set), arguments["scenario"].as<std::string>())) {
     for (const PlacementPolicy& policy : FilterByName(
              is_load_set ? LoadPlacementPolicies() : AllPlacementPolicies(),
              arguments["placement"].as<std::string>())) {
@@ -54,7 +64,7 @@
   }
   if (arguments["output"].as<std::string>() == "json") {
     PrintJson(results);
-  } else if (is_load_set) {
+  } else if (has_load_table) {
     PrintLoadTable(results);
   } else {
     PrintTable(results);
@@ -73,7 +83,7 @@
     cxxopts::Options options("poplarsail-emulate",
                              "Simulates load shapes and compares placements");
     options.add_options()("h,help", "Show this help")(
-        "set", "Scenarios and policies to run: standard or load",
+        "set", "Scenarios and policies to run: standard, load or mixed",
         cxxopts::value<std::string>()->default_value("standard"))(
         "scenario", "Run only this scenario",
         cxxopts::value<std::string>()->default_value(""))(
--- a/src/tools/emulator/report_output.cc
+++ b/src/tools/emulator/report_output.cc
@@ -60,6 +60,7 @@
           {"all", ToJson(load.all)},
           {"sheds_per_arrival", load.sheds_per_arrival},
           {"goodput", load.goodput},
+          {"goodput_in_target", load.goodput_in_target},
           {"busiest_over_mean", load.busiest_over_mean},
           {"refusal_p99_ms", load.refusal_p99_ms}};
 }
@@ -86,16 +87,17 @@
   fmt::print("{:<16} {:<12} {:<6}", "scenario", "placement", "kind");
   for (const char* title :
        {"in target", "p50 ms", "p99 ms", "refused", "failed", "sheds",
-        "goodput", "busiest", "told ms", "worst 2 s"}) {
+        "goodput", "in time", "busiest", "told ms", "worst 2 s"}) {
     fmt::print(" {:>9}", title);
   }
   fmt::print("\n");
   for (const Result& result : results) {
     const LoadReport& load = result.report.load;
     PrintKind(result, load.all);
-    fmt::print(" {:>9.4f} {:>9.3f} {:>9.2f} {:>9.0f} {:>9.3f}\n",
-               load.sheds_per_arrival, load.goodput, load.busiest_over_mean,
-               load.refusal_p99_ms, result.report.worst_window);
+    fmt::print(" {:>9.4f} {:>9.3f} {:>9.3f} {:>9.2f} {:>9.0f} {:>9.3f}\n",
+               load.sheds_per_arrival, load.goodput, load.goodput_in_target,
+               load.busiest_over_mean, load.refusal_p99_ms,
+               result.report.worst_window);
     for (const KindReport& kind : load.kinds) {
       PrintKind(result, kind);
       fmt::print("\n");
--- a/src/tools/emulator/scenario.h
+++ b/src/tools/emulator/scenario.h
@@ -111,6 +111,8 @@
   // One-way delays between failure domains and between clients and hosts.
   milliseconds domain_delay{4};
   milliseconds client_delay{1};
+  // Mean time that clients wait before they try again.
+  milliseconds retry_delay{0};
   SteadyTime::duration length = std::chrono::seconds(30);
   // Processing times of a cold upstream are longer by this factor.
   double cold_factor = 3.0;
@@ -125,9 +127,14 @@
   SteadyTime busy_begin = kSimulationStart;
   SteadyTime busy_end = kSimulationStart + std::chrono::seconds(30);
 
+  // Each kind has a listener of its own, which states priority and latency
+  // target; always so if `is_schedulable`.
+  bool has_listener_per_kind = false;
+
+  bool StatesTerms() const { return is_schedulable || has_listener_per_kind; }
   // Index of the listener of a kind.
   size_t ListenerOf(size_t kind) const {
-    return is_schedulable ? kind : kinds[kind].service;
+    return StatesTerms() ? kind : kinds[kind].service;
   }
 
   friend bool operator==(const Scenario&, const Scenario&) = default;
@@ -137,6 +144,10 @@
 // load shape and failure.
 std::vector<Scenario> StandardScenarios();
 
+// The set of mixed services: one kind of requests keeps its flows open, another
+// one opens a flow for each request, and both use the same upstreams.
+std::vector<Scenario> MixedScenarios();
+
 // The load set: 57 hosts in 3 failure domains, of which each sees 2 % of the
 // flows, and 120 upstreams of uneven speeds. Work varies and has a heavy tail.
 std::vector<Scenario> LoadScenarios();
