Serve by evacuated upstreams if a host reaches nothing else

Change: while the store is unreachable, evacuated upstreams of the host's own domain are candidates, after all others that respond and before those that do not. Once the store or another domain is reachable they get no new flows.

Test red before: "A host that reaches nothing else uses its evacuated upstreams".

--- a/src/libs/flows/local_first_placement.cc
+++ b/src/libs/flows/local_first_placement.cc
@@ -20,8 +20,10 @@
 constexpr double kColdCostFactor = 3.0;
 // An unregistered upstream is used only if no other is left.
 constexpr double kUnregisteredCostFactor = 1'000.0;
-// An upstream whose liveness allows no attempt is used only if there are no
-// unregistered ones either.
+// A host that reaches neither the store nor another failure domain serves its
+// clients by its own domain's evacuated upstreams. An upstream whose liveness
+// allows no attempt is used only if there is none of these either.
+constexpr double kEvacuatedCostFactor = 10'000.0;
 constexpr double kUnhealthyCostFactor = 100'000.0;
 
 }  // namespace
@@ -54,6 +56,9 @@
   if (upstream.is_unregistered) {
     cost *= kUnregisteredCostFactor;
   }
+  if (upstream.is_evacuated) {
+    cost *= kEvacuatedCostFactor;
+  }
   if (!upstream.liveness.AllowsAttempt(now)) {
     cost *= kUnhealthyCostFactor;
   }
@@ -66,7 +71,13 @@
       std::find(request.excluded_upstream_ids.begin(),
                 request.excluded_upstream_ids.end(),
                 upstream.record.id) != request.excluded_upstream_ids.end();
-  return upstream.AcceptsNewFlows() && !is_excluded;
+  const bool is_last_resort =
+      upstream.is_evacuated && request.is_store_unreachable &&
+      upstream.record.failure_domain == m_failure_domain;
+  const bool is_usable = is_last_resort
+                             ? upstream.AcceptsNewFlowsUnlessEvacuated()
+                             : upstream.AcceptsNewFlows();
+  return is_usable && !is_excluded;
 }
 
 std::vector<Upstream*> LocalFirstPlacement::RankUpstreams(
--- a/src/libs/flows/placement.h
+++ b/src/libs/flows/placement.h
@@ -17,6 +17,8 @@
   // Upstreams that did not respond to a packet of this flow.
   std::vector<uint64_t> excluded_upstream_ids;
   SteadyTime now;
+  // The store is unreachable, so evacuations may have ended.
+  bool is_store_unreachable = false;
 };
 
 // Chooses the upstream of a new flow.
--- a/src/libs/flows/routing_table.h
+++ b/src/libs/flows/routing_table.h
@@ -60,8 +60,11 @@
     placements_at = now;
   }
   bool AcceptsNewFlows() const {
+    return AcceptsNewFlowsUnlessEvacuated() && !is_evacuated;
+  }
+  bool AcceptsNewFlowsUnlessEvacuated() const {
     return record.phase == cluster_state::UpstreamPhase::kServing &&
-           !is_evacuated && !has_ambiguous_tag;
+           !has_ambiguous_tag;
   }
 };
 
--- a/src/libs/flows/steering_checks.cc
+++ b/src/libs/flows/steering_checks.cc
@@ -29,8 +29,11 @@
   if (!may_resend) {
     return decision;
   }
-  const PlacementRequest request{
-      listener, ChooseService(packet, *listener), {flow->upstream_id}, now};
+  const PlacementRequest request{listener,
+                                 ChooseService(packet, *listener),
+                                 {flow->upstream_id},
+                                 now,
+                                 !m_are_registrations_current};
   Upstream* other =
       request.service == nullptr ? nullptr : m_placement->Choose(request);
   if (other == nullptr) {
--- a/src/libs/flows/steering_placement.cc
+++ b/src/libs/flows/steering_placement.cc
@@ -38,7 +38,11 @@
   if (is_retransmit && (flow->is_held || is_just_placed)) {
     return {Action::kDrop, Reason::kHeld};
   }
-  PlacementRequest request{&listener, ChooseService(packet, listener), {}, now};
+  PlacementRequest request{&listener,
+                           ChooseService(packet, listener),
+                           {},
+                           now,
+                           !m_are_registrations_current};
   if (is_retransmit) {
     RecordFlowTimeout(flow, now);
     request.excluded_upstream_ids = {flow->upstream_id,
@@ -191,7 +195,8 @@
   flow->is_held = false;
   flow->token = 0;
   const Listener* listener = m_routing_table.FindListener(syn.key.listener);
-  PlacementRequest request{listener, nullptr, {}, now};
+  PlacementRequest request{
+      listener, nullptr, {}, now, !m_are_registrations_current};
   request.service =
       listener == nullptr ? nullptr : ChooseService(syn, *listener);
   Upstream* chosen =
--- a/tests/auto/flows/tst_placement.cc
+++ b/tests/auto/flows/tst_placement.cc
@@ -66,6 +66,42 @@
   CHECK(placed == std::map<uint64_t, int>{{1, 20}});
 }
 
+// Hosts of an evacuated domain that was then cut off sent each new flow to the
+// other domains, and a quarter of the requests failed (zlab-west, an evacuation
+// at 22 s and a cut from 33 to 37 s).
+TEST_CASE("A host that reaches nothing else uses its evacuated upstreams") {
+  FlowFixture fixture;
+  fixture.AddUpstream(1);
+  fixture.AddUpstream(2, "tally", "brandon");
+  fixture.AddUpstream(3, "tally", "saskatoon");
+  fixture.Evacuate("regina");
+  fixture.Evacuate("saskatoon");
+  fixture.steering.set_registrations_current(false);
+  SECTION("not while another domain responds") {
+    CHECK(PlaceFlows(&fixture, 20) == std::map<uint64_t, int>{{2, 20}});
+  }
+  SECTION("once the other domain fails its checks") {
+    fixture.steering.HandleFailureReport(2, fixture.now);
+    fixture.now += 90ms;
+    fixture.steering.HandleCheckResult(2, CheckOutcome::kNoResponse,
+                                       fixture.now);
+    CHECK(PlaceFlows(&fixture, 20) == std::map<uint64_t, int>{{1, 20}});
+    SECTION("until the store is reachable") {
+      fixture.steering.set_registrations_current(true);
+      CHECK(PlaceFlows(&fixture, 20) == std::map<uint64_t, int>{{2, 20}});
+    }
+    SECTION("until the other domain responds") {
+      fixture.now += 1s;
+      fixture.steering.Decide(
+          FlowFixture::Data(900, MakeTag(kTallyListener, TagBase(2)), 101, 500),
+          fixture.now);
+      fixture.now += 10ms;
+      fixture.AcknowledgeResponse(900, MakeTag(kTallyListener, TagBase(2)));
+      CHECK(PlaceFlows(&fixture, 20) == std::map<uint64_t, int>{{2, 20}});
+    }
+  }
+}
+
 TEST_CASE("An unregistered upstream is used only if no other is left") {
   FlowFixture fixture;
   fixture.AddUpstream(1);
