Take short answers for refusals only while responses take longer than usual

One large first acknowledgement had made all ordinary responses look short. Besides, listeners with many short responses (errors, redirects) would have had new flows refused without any load.

--- a/src/libs/flows/flow_admission.cc
+++ b/src/libs/flows/flow_admission.cc
@@ -19,13 +19,14 @@
   return std::pow(kOrdinaryRefusedShare / refused_share, 2);
 }
 
-void FlowAdmission::RecordAnswer(const Ipv4Endpoint& listener,
+bool FlowAdmission::RecordAnswer(const Ipv4Endpoint& listener,
                                  Upstream* upstream,
-                                 uint32_t bytes,
+                                 const load::AnswerSample& answer,
                                  SteadyTime now) {
-  const bool is_refusal = m_detectors[listener].Add(bytes);
+  const bool is_refusal = m_detectors[listener].Add(answer, now);
   upstream->refusals.Add(is_refusal, now);
   m_services[upstream->record.service].Add(is_refusal, now);
+  return is_refusal;
 }
 
 double FlowAdmission::RefusedShare(const Upstream& upstream,
--- a/src/libs/flows/flow_admission.h
+++ b/src/libs/flows/flow_admission.h
@@ -24,10 +24,11 @@
 // of requests is that upstreams refuse. Higher priorities are always admitted.
 class FlowAdmission {
  public:
-  // Records the first acknowledgement of an answer, which covers `bytes`.
-  void RecordAnswer(const Ipv4Endpoint& listener,
+  // Records the first acknowledgement of an answer. Returns whether the answer
+  // is a refusal.
+  bool RecordAnswer(const Ipv4Endpoint& listener,
                     Upstream* upstream,
-                    uint32_t bytes,
+                    const load::AnswerSample& answer,
                     SteadyTime now);
 
   // The share of requests that the upstream refuses. With few requests it
