--- a/src/app/explain_logs.h
+++ b/src/app/explain_logs.h
@@ -7,7 +7,8 @@
 
 void AddExplainLogsOptions(cxxopts::Options* options);
 
-// Diagnoses the failure of a flow or an upstream from log files.
+// Diagnoses the failure of a flow or an upstream from log files, or tabulates
+// lost requests.
 int ExplainLogs(const cxxopts::ParseResult& arguments);
 
 }  // namespace poplarsail::app
--- a/src/libs/entry/metrics.cc
+++ b/src/libs/entry/metrics.cc
@@ -76,6 +76,27 @@
                          by_reason);
 }
 
+MetricFamily LossCounters(const flows::LossCounts& losses) {
+  MetricFamily family{
+      "poplarsail_lost_requests_total",
+      "Requests that were not answered in time, as this host sees them.",
+      MetricType::Counter,
+      {}};
+  for (const auto& [listener, by_cause] : losses.by_listener()) {
+    for (size_t i = 0; i < by_cause.size(); ++i) {
+      if (by_cause[i] == 0) {
+        continue;
+      }
+      ClientMetric metric = CounterMetric(static_cast<double>(by_cause[i]));
+      metric.label.push_back({"listener", model::ToString(listener)});
+      metric.label.push_back({"cause", std::string(flows::ToString(
+                                           static_cast<flows::LossCause>(i)))});
+      family.metric.push_back(metric);
+    }
+  }
+  return family;
+}
+
 // The counters without labels.
 std::vector<MetricFamily> UnlabelledCounters(const MetricSources& sources) {
   struct Row {
@@ -129,6 +150,7 @@
           : 0.0;
   std::vector<MetricFamily> families = UnlabelledCounters(sources);
   families.push_back(DecisionCounters(*sources.packets));
+  families.push_back(LossCounters(sources.steering->losses()));
   families.push_back(LabelledCounter("poplarsail_store_calls_total",
                                      "Calls to the store by outcome.",
                                      "outcome",
--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -48,6 +48,24 @@
         std::to_string(upstream == nullptr ? 0 : upstream->open_flows)}});
 }
 
+// Returns nullopt for the reset of what the configuration does not serve.
+std::optional<flows::LossCause> LossCauseOf(flows::Reason reason) {
+  switch (reason) {
+    case flows::Reason::kNoRoom:
+      return flows::LossCause::kNoRoom;
+    case flows::Reason::kNoUpstream:
+      return flows::LossCause::kNoUpstream;
+    case flows::Reason::kUpstreamDead:
+      return flows::LossCause::kUpstreamDead;
+    case flows::Reason::kUpstreamGone:
+      return flows::LossCause::kUpstreamGone;
+    case flows::Reason::kUnknownTag:
+      return flows::LossCause::kUnknownTag;
+    default:
+      return std::nullopt;
+  }
+}
+
 // `result` proves something about the upstream.
 flows::CheckOutcome ToOutcome(CheckResult result) {
   switch (result) {
@@ -118,6 +136,7 @@
 void PacketLoop::Poll() {
   CheckForStall();
   LogSuppressedRefusals();
+  m_loss_log.Update(m_steering->losses(), std::chrono::steady_clock::now());
   if (m_is_catching_up) {
     ReceivePackets();
   }
@@ -235,6 +254,7 @@
   m_counts.refused_checks +=
       report.outcome == flows::CheckOutcome::kRefused ? 1 : 0;
   for (const flows::FlowPacket& packet : decision.flows_to_reset) {
+    CountReset(packet, flows::Reason::kUpstreamDead);
     SendReset(packet);
   }
   Flush();
@@ -308,6 +328,7 @@
       return;
     }
     case flows::Action::kReset:
+      CountReset(packet, decision.reason);
       SendReset(packet);
       return;
     case flows::Action::kDrop:
@@ -374,6 +395,13 @@
   }
 }
 
+void PacketLoop::CountReset(const flows::FlowPacket& packet,
+                            flows::Reason reason) {
+  if (const auto cause = LossCauseOf(reason)) {
+    m_steering->losses().Add(packet.key.listener, *cause);
+  }
+}
+
 void PacketLoop::SendReset(const flows::FlowPacket& packet) {
   const PacketHeader header = m_codec->EncodeReset(packet);
   m_socket.Queue(model::ToEndpoint({packet.key.client.address, m_client_port}),
--- a/src/libs/entry/packet_loop.h
+++ b/src/libs/entry/packet_loop.h
@@ -17,6 +17,7 @@
 #include "entry/entry_settings.h"
 #include "entry/flow_codec.h"
 #include "entry/flow_scheduling.h"
+#include "entry/loss_log.h"
 #include "entry/peer_probes.h"
 #include "entry/refusal_log.h"
 #include "entry/upstream_checker.h"
@@ -139,6 +140,7 @@
   void StartCheck(const flows::Upstream& upstream);
   void OnCheckResult(uint64_t upstream_id, CheckResult result);
   void SendReset(const flows::FlowPacket& packet);
+  void CountReset(const flows::FlowPacket& packet, flows::Reason reason);
   void Hold(std::span<const uint8_t> datagram, flows::SteadyTime now);
   void Flush();
 
@@ -158,6 +160,7 @@
   std::deque<HeldPacket> m_held_packets;
   std::unordered_map<uint32_t, HeldSyn> m_held_syns;
   RefusalLog m_refusal_log;
+  LossLog m_loss_log;
   PacketCounts m_counts;
   flows::SteadyTime m_last_packet;
   std::function<void(uint64_t)> m_on_upstream_failure;
--- a/src/libs/explain/explain.h
+++ b/src/libs/explain/explain.h
@@ -6,6 +6,7 @@
 #include "explain/clock_alignment.h"
 #include "explain/diagnosis.h"
 #include "explain/log_file.h"
+#include "explain/loss_table.h"
 #include "explain/service_level.h"
 
 #endif  // EXPLAIN_EXPLAIN_H_
--- a/src/libs/flows/flow_table.cc
+++ b/src/libs/flows/flow_table.cc
@@ -22,16 +22,17 @@
   }
 }
 
-void FlowTable::EvictIdle(SteadyTime oldest,
-                          SteadyTime oldest_closed,
-                          const std::function<void(FlowRecord*)>& on_removed) {
+void FlowTable::EvictIdle(
+    SteadyTime oldest,
+    SteadyTime oldest_closed,
+    const std::function<void(const FlowKey&, FlowRecord*)>& on_removed) {
   for (auto item = m_records.begin(); item != m_records.end();) {
     const FlowRecord& record = item->second;
     if (record.last_packet >= (record.is_closed ? oldest_closed : oldest)) {
       ++item;
       continue;
     }
-    on_removed(&item->second);
+    on_removed(item->first, &item->second);
     item = m_records.erase(item);
   }
 }
--- a/src/libs/flows/flow_table.h
+++ b/src/libs/flows/flow_table.h
@@ -62,9 +62,10 @@
 
   // Removes records without packets since `oldest`, and those closed before
   // `oldest_closed`, and calls `on_removed` for each.
-  void EvictIdle(SteadyTime oldest,
-                 SteadyTime oldest_closed,
-                 const std::function<void(FlowRecord*)>& on_removed);
+  void EvictIdle(
+      SteadyTime oldest,
+      SteadyTime oldest_closed,
+      const std::function<void(const FlowKey&, FlowRecord*)>& on_removed);
 
   size_t size() const { return m_records.size(); }
 
--- a/src/libs/flows/flows.h
+++ b/src/libs/flows/flows.h
@@ -8,6 +8,7 @@
 #include "flows/flow_table.h"
 #include "flows/liveness.h"
 #include "flows/local_first_placement.h"
+#include "flows/loss_counts.h"
 #include "flows/pending_responses.h"
 #include "flows/placement.h"
 #include "flows/response_timeouts.h"
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -152,7 +152,7 @@
       !is_new_flow && (!flow->is_established || is_acknowledgement ||
                        packet.ack_number != flow->ack_number);
   if (is_response) {
-    RecordFlowResponse(flow, upstream, now);
+    RecordFlowResponse(packet.key, flow, upstream, now);
     SetAwaitingResponse(flow, upstream, false);
   }
   const bool has_new_data =
@@ -176,6 +176,7 @@
   flow->is_established = true;
   flow->ack_number = packet.ack_number;
   if (packet.is_fin || packet.is_rst) {
+    RecordEndOfFlow(packet.key, *flow);
     ReleasePlace(flow, scheduling::Outcome::kAbandoned);
     if (flow->has_seen_start && packet.is_fin && m_scheduler != nullptr) {
       m_scheduler->OnFlowEnded(packet.key.listener, flow->request_count);
@@ -198,8 +199,13 @@
     return;
   }
   flow->is_answer_expected = false;
-  m_admission.RecordAnswer(packet.key.listener, upstream,
-                           static_cast<uint32_t>(bytes), now);
+  const load::AnswerSample answer{static_cast<uint32_t>(bytes),
+                                  now - flow->awaiting_response_since};
+  const bool is_refusal =
+      m_admission.RecordAnswer(packet.key.listener, upstream, answer, now);
+  if (is_refusal) {
+    m_losses.Add(packet.key.listener, LossCause::kRefusedByUpstream);
+  }
 }
 
 void Steering::AwaitResponse(FlowRecord* flow,
@@ -223,7 +229,15 @@
   upstream->liveness.RecordResponseTimeout(flow->awaiting_response_since, now);
 }
 
-void Steering::RecordFlowResponse(FlowRecord* flow,
+void Steering::RecordEndOfFlow(const FlowKey& key, const FlowRecord& flow) {
+  const bool is_waiting = flow.is_established && flow.is_awaiting_response;
+  if (is_waiting && !flow.is_closed) {
+    m_losses.Add(key.listener, LossCause::kUnanswered);
+  }
+}
+
+void Steering::RecordFlowResponse(const FlowKey& key,
+                                  FlowRecord* flow,
                                   Upstream* upstream,
                                   SteadyTime now) {
   upstream->liveness.RecordResponse(now);
@@ -234,6 +248,13 @@
   if (flow->is_established) {
     ReleasePlace(flow, scheduling::Outcome::kResponded, time);
     m_response_times.Add(time);
+    const Listener* listener = m_routing_table.FindListener(key.listener);
+    const bool is_late = listener != nullptr &&
+                         listener->record.latency_target.count() > 0 &&
+                         time > listener->record.latency_target;
+    if (is_late) {
+      m_losses.Add(key.listener, LossCause::kLate);
+    }
     m_response_timeouts.RecordResponse(upstream->record.service, time);
     const std::chrono::duration<double, std::milli> response = time;
     upstream->response_ms +=
@@ -283,7 +304,8 @@
 
 void Steering::EvictIdleFlows(SteadyTime now) {
   m_flows.EvictIdle(now - m_flow_idle_timeout, now - kClosedFlowRetention,
-                    [this](FlowRecord* flow) {
+                    [this](const FlowKey& key, FlowRecord* flow) {
+                      RecordEndOfFlow(key, *flow);
                       ReleasePlace(flow, scheduling::Outcome::kAbandoned);
                       DetachFlow(*flow);
                     });
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -14,6 +14,7 @@
 #include "flows/flow_packet.h"
 #include "flows/flow_scheduler.h"
 #include "flows/flow_table.h"
+#include "flows/loss_counts.h"
 #include "flows/placement.h"
 #include "flows/response_timeouts.h"
 #include "flows/routing_table.h"
@@ -179,6 +180,9 @@
   void EvictIdleFlows(SteadyTime now);
 
   RoutingTable& routing_table() { return m_routing_table; }
+  // Lost requests; the caller adds the flows that it resets.
+  LossCounts& losses() { return m_losses; }
+  const LossCounts& losses() const { return m_losses; }
   const FlowTable& flow_table() const { return m_flows; }
   // Time from a SYN to the first packet on the established flow.
   const telemetry::LatencyHistogram& handshake_times() const {
@@ -245,7 +249,12 @@
                      milliseconds timeout,
                      SteadyTime now);
   void RecordFlowTimeout(FlowRecord* flow, SteadyTime now);
-  void RecordFlowResponse(FlowRecord* flow, Upstream* upstream, SteadyTime now);
+  void RecordFlowResponse(const FlowKey& key,
+                          FlowRecord* flow,
+                          Upstream* upstream,
+                          SteadyTime now);
+  // Counts the request that the flow waits for as unanswered.
+  void RecordEndOfFlow(const FlowKey& key, const FlowRecord& flow);
   // Whether a refused connection shows that the flows of the upstream have
   // ended.
   bool DoesRefusalEndFlows(const Upstream& upstream, SteadyTime now) const;
@@ -258,6 +267,7 @@
 
   std::unique_ptr<Placement> m_placement;
   FlowAdmission m_admission;
+  LossCounts m_losses;
   FlowScheduler* m_scheduler = nullptr;
   RoutingTable m_routing_table;
   FlowTable m_flows;
--- a/tests/auto/entry/tst_metrics.cc
+++ b/tests/auto/entry/tst_metrics.cc
@@ -30,8 +30,9 @@
 TEST_CASE("The metrics contain decisions, store calls and latencies") {
   PacketCounts packets;
   packets.by_reason[static_cast<size_t>(flows::Reason::kNoUpstream)] = 7;
-  const flows::Steering steering(
+  flows::Steering steering(
       std::make_unique<flows::LocalFirstPlacement>("regina", 1));
+  steering.losses().Add({0xc6120001, 8443}, flows::LossCause::kLate);
   const cluster_state::ClusterState cluster_state;
   StoreCallCounts store;
   store.refused = 3;
@@ -58,6 +59,9 @@
       Contains("poplarsail_scheduling_refused_total{reason=\"no-room\"} 5"));
   CHECK_THAT(text,
              Contains("poplarsail_scheduler_waiting{service=\"tally\"} 3"));
+  CHECK_THAT(text,
+             Contains("poplarsail_lost_requests_total{listener=\"198.18.0.1:"
+                      "8443\",cause=\"late\"} 1"));
   CHECK_THAT(text, Contains("poplarsail_scheduling_wait_seconds_count{listener="
                             "\"198.18.0.1:8443\"} 1"));
   CHECK_THAT(text, Contains("poplarsail_store_era 4"));
