Keep new flows away from upstreams that leave requests unanswered

Each check connects and clears the suspicion, so new flows went there like elsewhere; a host sends each upstream a request every few seconds and can't see it alone.

Change: hosts count overdue requests by upstream, tell each other the counts every 250 ms if there are any (message 4, domain only, at most 8 KB/s), and place new flows elsewhere while an upstream has four times the overdue requests of its service's median upstream, and at least three. No open flow is reset: the upstream lives. Under overload all have many, and none is avoided.

--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -13,11 +13,14 @@
 #include <utility>
 #include <vector>
 
+#include <fmt/format.h>
+
 #include "cluster_state/cluster_state.h"
 #include "entry/failure_report_channel.h"
 #include "entry/flow_scheduling.h"
 #include "entry/http_server.h"
 #include "entry/metrics.h"
+#include "entry/overdue_exchange.h"
 #include "entry/packet_loop.h"
 #include "entry/peer_exchange.h"
 #include "entry/peer_probes.h"
@@ -66,6 +69,12 @@
                           packets.OnFailureReport(upstream_id);
                         }),
         peer_probes(&peer_socket, &packets),
+        overdue_exchange(
+            &peer_socket,
+            [this](const std::vector<flows::OverdueCount>& counts) {
+              steering.AddOverdueRequests(counts,
+                                          std::chrono::steady_clock::now());
+            }),
         scheduling(context,
                    &peer_socket,
                    &packets,
@@ -99,6 +108,7 @@
   PeerSocket peer_socket;
   FailureReportChannel failure_reports;
   PeerProbes peer_probes;
+  OverdueExchange overdue_exchange;
   FlowScheduling scheduling;
   std::vector<std::unique_ptr<StoreWatcher>> store_watchers;
   std::unique_ptr<PeerExchange> peer_exchange;
@@ -170,6 +180,7 @@
     m_components->failure_reports.set_local_peers(fleet.local_peers);
     m_components->failure_reports.set_remote_peers(fleet.remote_peers);
     m_components->peer_probes.SetPeers(fleet.local_peers, fleet.remote_peers);
+    m_components->overdue_exchange.set_peers(fleet.local_peers);
     m_components->scheduling.SetLocalCandidates(MakeCandidates(fleet));
     m_components->scheduling.SetRemotePeers(fleet.remote_peers);
   };
@@ -344,10 +355,22 @@
   m_components->steering.set_registrations_current(!IsStoreUnreachable());
   m_components->steering.EvictIdleFlows(now);
   m_components->packets.RunDueChecks();
+  UpdateStalls(now);
   ReloadIfChanged();
   m_components->log.Flush();
 }
 
+void EntryDaemon::UpdateStalls(cluster_state::SteadyTime now) {
+  flows::Steering& steering = m_components->steering;
+  m_components->overdue_exchange.Broadcast(steering.TakeOverdueRequests());
+  for (const flows::StallChange& change : steering.UpdateStalls(now)) {
+    telemetry::Log(telemetry::LogLevel::kInfo, "packets",
+                   change.is_stalling ? "upstream leaves requests unanswered"
+                                      : "upstream no longer stalls",
+                   {{"upstream", fmt::format("{:x}", change.upstream_id)}});
+  }
+}
+
 void EntryDaemon::Stop() {
   telemetry::Log(
       telemetry::LogLevel::kInfo, "daemon", "stopping",
--- a/src/libs/entry/entry_daemon.h
+++ b/src/libs/entry/entry_daemon.h
@@ -49,6 +49,8 @@
   std::string MetricsText() const;
   bool IsStoreUnreachable() const;
   void OnTick();
+  // Exchanges overdue requests with the other hosts and judges the upstreams.
+  void UpdateStalls(cluster_state::SteadyTime now);
   void Stop();
   // Stops once the host gets no more packets, or at the latest time for it.
   void StopWhenQuiet();
--- a/src/libs/flows/flows.h
+++ b/src/libs/flows/flows.h
@@ -14,6 +14,7 @@
 #include "flows/response_timeouts.h"
 #include "flows/routing_table.h"
 #include "flows/stall_detector.h"
+#include "flows/stall_monitor.h"
 #include "flows/steering.h"
 
 #endif  // FLOWS_FLOWS_H_
--- a/src/libs/flows/routing_table.h
+++ b/src/libs/flows/routing_table.h
@@ -14,6 +14,10 @@
 
 namespace poplarsail::flows {
 
+// An upstream that stalled gets new flows again some half-lives after its last
+// overdue request.
+inline constexpr std::chrono::seconds kOverdueHalfLife{2};
+
 // An upstream with what this host observed of it.
 struct Upstream {
   cluster_state::UpstreamRecord record;
@@ -41,6 +45,10 @@
   double response_ms = 0;
   // Requests that the upstream refused.
   load::RefusalShare refusals;
+  // Requests of all hosts of this failure domain whose responses were overdue.
+  load::DecayingCount overdue_requests{kOverdueHalfLife};
+  // It has far more overdue requests than others of its service.
+  bool is_stalling = false;
   SteadyTime check_started;
   // The last check was triggered by another host's failure report, so the peers
   // already know of the failure.
@@ -109,6 +117,9 @@
       const {
     return m_upstreams;
   }
+  const std::unordered_map<std::string, Service>& services() const {
+    return m_services;
+  }
   uint64_t generation() const { return m_generation; }
 
  private:
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -18,6 +18,7 @@
 #include "flows/placement.h"
 #include "flows/response_timeouts.h"
 #include "flows/routing_table.h"
+#include "flows/stall_monitor.h"
 #include "telemetry/telemetry.h"
 
 namespace poplarsail::flows {
@@ -176,6 +177,19 @@
   // fleet the checks of all hosts would add up.
   std::vector<const Upstream*> StartDueChecks(SteadyTime now);
 
+  // Returns the overdue requests since the last call, for the other hosts of
+  // the failure domain, and adds those that they report.
+  std::vector<OverdueCount> TakeOverdueRequests() {
+    return m_stalls.TakeCounts();
+  }
+  void AddOverdueRequests(const std::vector<OverdueCount>& counts,
+                          SteadyTime now);
+  // Judges by the overdue requests which upstreams stall. Call several times a
+  // second.
+  std::vector<StallChange> UpdateStalls(SteadyTime now) {
+    return StallMonitor::Update(m_routing_table, now);
+  }
+
   // Removes the records of idle flows. Call about once a second.
   void EvictIdleFlows(SteadyTime now);
 
@@ -267,6 +281,7 @@
 
   std::unique_ptr<Placement> m_placement;
   FlowAdmission m_admission;
+  StallMonitor m_stalls;
   LossCounts m_losses;
   FlowScheduler* m_scheduler = nullptr;
   RoutingTable m_routing_table;
--- a/src/libs/flows/steering_checks.cc
+++ b/src/libs/flows/steering_checks.cc
@@ -14,8 +14,13 @@
     return {};
   }
   Upstream* upstream = m_routing_table.FindUpstream(flow->upstream_id);
-  if (upstream == nullptr ||
-      upstream->liveness.last_response() > flow->awaiting_response_since) {
+  if (upstream == nullptr) {
+    return {};
+  }
+  if (!packet.is_syn) {
+    m_stalls.RecordOverdue(upstream, now);
+  }
+  if (upstream->liveness.last_response() > flow->awaiting_response_since) {
     return {};
   }
   if (packet.is_syn) {
@@ -53,6 +58,15 @@
   return decision;
 }
 
+void Steering::AddOverdueRequests(const std::vector<OverdueCount>& counts,
+                                  SteadyTime now) {
+  for (const OverdueCount& count : counts) {
+    if (Upstream* upstream = m_routing_table.FindUpstream(count.upstream_id)) {
+      upstream->overdue_requests.Add(count.requests, now);
+    }
+  }
+}
+
 bool Steering::StartCheck(Upstream* upstream, SteadyTime now) {
   if (now < upstream->next_check) {
     return false;
--- a/src/libs/load/load.h
+++ b/src/libs/load/load.h
@@ -4,6 +4,7 @@
 #define LOAD_LOAD_H_
 
 #include "load/completion_predictor.h"
+#include "load/decaying_count.h"
 #include "load/refusal_detector.h"
 #include "load/refusal_share.h"
 #include "load/speed_estimator.h"
