--- a/src/libs/entry/upstream_checker.cc
+++ b/src/libs/entry/upstream_checker.cc
@@ -71,7 +71,9 @@
   check->endpoint = endpoint;
   check->reference = reference;
   const auto now = std::chrono::steady_clock::now();
-  for (int attempt = kConnectAttempts; attempt > 0; --attempt) {
+  const int attempts =
+      now < m_loss_until ? kConnectAttemptsUnderLoss : kConnectAttempts;
+  for (int attempt = attempts; attempt > 0; --attempt) {
     check->deadlines.push_back(now + attempt * connect_timeout);
   }
   StartAttempt(check);
@@ -162,6 +164,11 @@
     return;
   }
   m_checks.erase(check->upstream_id);
+  const bool is_unproven = result == CheckResult::kInconclusive ||
+                           result == CheckResult::kConnectedElsewhere;
+  if (is_unproven) {
+    m_loss_until = std::chrono::steady_clock::now() + kLossMemory;
+  }
   m_callback(check->upstream_id, result);
 }
 
--- a/src/libs/entry/upstream_checker.h
+++ b/src/libs/entry/upstream_checker.h
@@ -14,8 +14,12 @@
 namespace poplarsail::entry {
 
 // Consecutive connection attempts without a response after which a check fails.
-// A single one may be due to a lost packet.
+// A single one may be due to a lost packet. This host itself loses packets
+// while its checks prove nothing, so that it takes more attempts until some
+// time after the last such check.
 inline constexpr int kConnectAttempts = 2;
+inline constexpr int kConnectAttemptsUnderLoss = 4;
+inline constexpr std::chrono::seconds kLossMemory{5};
 // Maximum number of concurrent checks, and of probes for other hosts; each
 // needs up to two file descriptors.
 inline constexpr size_t kMaxChecks = 64;
@@ -41,8 +45,8 @@
 class UpstreamChecker {
  public:
   using Callback = std::function<void(uint64_t upstream_id, CheckResult)>;
-  // Called when the first attempt had no response, so that other hosts can be
-  // asked during the next one.
+  // Called after each attempt without a response but the last one, so that
+  // other hosts can be asked during the next one.
   using DoubtCallback = std::function<void(uint64_t upstream_id)>;
 
   UpstreamChecker(boost::asio::io_context* context,
@@ -82,6 +86,8 @@
   // Keyed by the id of the upstream.
   std::unordered_map<uint64_t, std::shared_ptr<PendingCheck>> m_checks;
   size_t m_running_probes = 0;
+  // Until then, packets of this host may be lost.
+  std::chrono::steady_clock::time_point m_loss_until;
 };
 
 }  // namespace poplarsail::entry
--- a/tests/auto/entry/tst_upstream_checker.cc
+++ b/tests/auto/entry/tst_upstream_checker.cc
@@ -152,6 +152,34 @@
   CHECK(result == CheckResult::kNoResponse);
 }
 
+TEST_CASE("A host that loses packets takes more attempts") {
+  boost::asio::io_context context;
+  const Port silent(&context, Port::Kind::kSilent);
+  const Port answers(&context, Port::Kind::kAnswers);
+  std::optional<CheckResult> result;
+  int doubts = 0;
+  UpstreamChecker checker(
+      &context, [&](uint64_t, CheckResult found) { result = found; },
+      [&](uint64_t) { ++doubts; });
+  const auto check = [&](const Port& reference) {
+    result.reset();
+    doubts = 0;
+    checker.Check(1, silent.endpoint(), reference.endpoint(), kConnectTimeout);
+    while (!result) {
+      REQUIRE(context.run_one() > 0);
+    }
+    return *result;
+  };
+  // On a busy machine a check may be inconclusive since its timer fires late.
+  if (check(answers) == CheckResult::kNoResponse) {
+    CHECK(doubts == kConnectAttempts - 1);
+  }
+  CHECK(check(silent) == CheckResult::kInconclusive);
+  while (check(answers) != CheckResult::kNoResponse) {
+  }
+  CHECK(doubts == kConnectAttemptsUnderLoss - 1);
+}
+
 TEST_CASE("A probe tells whether the upstream accepts a connection") {
   boost::asio::io_context context;
   const Port answers(&context, Port::Kind::kAnswers);
