Connect to the reference of a check only if the attempt gets no prompt answer

A reference beside each attempt doubled the connections of all checks, of which nearly all are answered within a round trip. It is now connected to after a third of the attempt. Overdue requests of scheduled services are not exchanged: the scheduler learns speeds by itself.

--- a/src/libs/entry/upstream_checker.cc
+++ b/src/libs/entry/upstream_checker.cc
@@ -13,16 +13,29 @@
 // the check proves nothing about the upstream.
 constexpr std::chrono::milliseconds kMaxTimerDelay{40};
 
+// When an attempt ends, and when the reference is connected to if there is no
+// result yet. Most attempts are answered within a round trip and need none.
+struct AttemptTimes {
+  std::chrono::steady_clock::time_point reference_start;
+  std::chrono::steady_clock::time_point deadline;
+
+  friend bool operator==(const AttemptTimes&, const AttemptTimes&) = default;
+};
+
 }  // namespace
 
 // State of one check: consecutive attempts, each together with a connection to
 // the reference.
 struct UpstreamChecker::PendingCheck {
+  explicit PendingCheck(boost::asio::io_context* context)
+      : reference_timer(*context) {}
+
   uint64_t upstream_id = 0;
   model::Ipv4Endpoint endpoint;
   std::optional<model::Ipv4Endpoint> reference;
-  // The deadlines of the attempts that are left, the next one last.
-  std::vector<std::chrono::steady_clock::time_point> deadlines;
+  // The attempts that are left, the next one last.
+  std::vector<AttemptTimes> attempts;
+  boost::asio::steady_timer reference_timer;
   // The reference accepted or refused the connection during this attempt.
   bool has_reference_responded = false;
   bool is_connected_elsewhere = false;
@@ -65,7 +78,7 @@
   if (m_checks.size() >= kMaxChecks || m_checks.contains(upstream_id)) {
     return;
   }
-  auto check = std::make_shared<PendingCheck>();
+  auto check = std::make_shared<PendingCheck>(m_context);
   m_checks[upstream_id] = check;
   check->upstream_id = upstream_id;
   check->endpoint = endpoint;
@@ -74,27 +87,39 @@
   const int attempts =
       now < m_loss_until ? kConnectAttemptsUnderLoss : kConnectAttempts;
   for (int attempt = attempts; attempt > 0; --attempt) {
-    check->deadlines.push_back(now + attempt * connect_timeout);
+    const auto start = now + (attempt - 1) * connect_timeout;
+    check->attempts.push_back(
+        {start + connect_timeout / 3, start + connect_timeout});
   }
   StartAttempt(check);
 }
 
 void UpstreamChecker::StartAttempt(const std::shared_ptr<PendingCheck>& check) {
-  const auto deadline = check->deadlines.back();
-  check->deadlines.pop_back();
+  const AttemptTimes times = check->attempts.back();
+  check->attempts.pop_back();
   check->has_reference_responded = false;
-  ConnectTo(check->endpoint, deadline, [this, check](CheckResult result) {
+  ConnectTo(check->endpoint, times.deadline, [this, check](CheckResult result) {
     HandleAttemptResult(check, result);
   });
-  // Started after the attempt; the result counts only if it is known by the end
-  // of the attempt.
   if (!check->reference) {
     return;
   }
-  const size_t attempts_left = check->deadlines.size();
+  check->reference_timer.expires_at(times.reference_start);
+  check->reference_timer.async_wait(
+      [this, check, times](const boost::system::error_code& error) {
+        if (!error) {
+          ConnectToReference(check, times.deadline);
+        }
+      });
+}
+
+void UpstreamChecker::ConnectToReference(
+    const std::shared_ptr<PendingCheck>& check,
+    std::chrono::steady_clock::time_point deadline) {
+  const size_t attempts_left = check->attempts.size();
   ConnectTo(*check->reference, deadline,
             [check, attempts_left](CheckResult result) {
-              const bool is_current = check->deadlines.size() == attempts_left;
+              const bool is_current = check->attempts.size() == attempts_left;
               const bool has_responded = result == CheckResult::kConnected ||
                                          result == CheckResult::kRefused;
               check->has_reference_responded |= is_current && has_responded;
@@ -151,6 +176,7 @@
 void UpstreamChecker::HandleAttemptResult(
     const std::shared_ptr<PendingCheck>& check,
     CheckResult result) {
+  check->reference_timer.cancel();
   if (result == CheckResult::kNoResponse) {
     if (check->reference && !check->has_reference_responded) {
       result = CheckResult::kInconclusive;
@@ -158,7 +184,7 @@
       result = CheckResult::kConnectedElsewhere;
     }
   }
-  if (result == CheckResult::kNoResponse && !check->deadlines.empty()) {
+  if (result == CheckResult::kNoResponse && !check->attempts.empty()) {
     m_on_doubt(check->upstream_id);
     StartAttempt(check);
     return;
--- a/src/libs/entry/upstream_checker.h
+++ b/src/libs/entry/upstream_checker.h
@@ -74,6 +74,8 @@
   struct PendingCheck;
   struct Attempt;
   void StartAttempt(const std::shared_ptr<PendingCheck>& check);
+  void ConnectToReference(const std::shared_ptr<PendingCheck>& check,
+                          std::chrono::steady_clock::time_point deadline);
   void ConnectTo(const model::Ipv4Endpoint& endpoint,
                  std::chrono::steady_clock::time_point deadline,
                  std::function<void(CheckResult)> done);
--- a/src/libs/flows/steering_checks.cc
+++ b/src/libs/flows/steering_checks.cc
@@ -17,7 +17,8 @@
   if (upstream == nullptr) {
     return {};
   }
-  if (!packet.is_syn) {
+  // A scheduler learns the speeds of its upstreams by itself.
+  if (!packet.is_syn && !IsScheduled(upstream->record.service)) {
     m_stalls.RecordOverdue(upstream, now);
   }
   if (upstream->liveness.last_response() > flow->awaiting_response_since) {
