--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -355,18 +355,20 @@
   m_components->steering.set_registrations_current(!IsStoreUnreachable());
   m_components->steering.EvictIdleFlows(now);
   m_components->packets.RunDueChecks();
-  UpdateStalls(now);
+  UpdateUnresponsive(now);
   ReloadIfChanged();
   m_components->log.Flush();
 }
 
-void EntryDaemon::UpdateStalls(cluster_state::SteadyTime now) {
+void EntryDaemon::UpdateUnresponsive(cluster_state::SteadyTime now) {
   flows::Steering& steering = m_components->steering;
   m_components->overdue_exchange.Broadcast(steering.TakeOverdueRequests());
-  for (const flows::StallChange& change : steering.UpdateStalls(now)) {
+  for (const flows::UnresponsiveChange& change :
+       steering.UpdateUnresponsive(now)) {
     telemetry::Log(telemetry::LogLevel::kInfo, "packets",
-                   change.is_stalling ? "upstream leaves requests unanswered"
-                                      : "upstream no longer stalls",
+                   change.is_unresponsive
+                       ? "upstream leaves requests unanswered"
+                       : "upstream answers its requests again",
                    {{"upstream", fmt::format("{:x}", change.upstream_id)}});
   }
 }
--- a/src/libs/flows/flows.h
+++ b/src/libs/flows/flows.h
@@ -9,12 +9,12 @@
 #include "flows/liveness.h"
 #include "flows/local_first_placement.h"
 #include "flows/loss_counts.h"
+#include "flows/overdue_monitor.h"
 #include "flows/pending_responses.h"
 #include "flows/placement.h"
 #include "flows/response_timeouts.h"
 #include "flows/routing_table.h"
 #include "flows/stall_detector.h"
-#include "flows/stall_monitor.h"
 #include "flows/steering.h"
 
 #endif  // FLOWS_FLOWS_H_
--- a/src/libs/flows/local_first_placement.cc
+++ b/src/libs/flows/local_first_placement.cc
@@ -19,7 +19,7 @@
 // A cold upstream is slower by about this factor in its first seconds.
 constexpr double kColdCostFactor = 3.0;
 // An upstream that leaves requests unanswered is used only if no other is left.
-constexpr double kStallingCostFactor = 100.0;
+constexpr double kUnresponsiveCostFactor = 100.0;
 // An unregistered upstream is used only if there is no such one either.
 constexpr double kUnregisteredCostFactor = 1'000.0;
 // A host that reaches neither the store nor another failure domain serves its
@@ -55,8 +55,8 @@
   if (upstream.IsCold(now)) {
     cost *= kColdCostFactor;
   }
-  if (upstream.is_stalling) {
-    cost *= kStallingCostFactor;
+  if (upstream.is_unresponsive) {
+    cost *= kUnresponsiveCostFactor;
   }
   if (upstream.is_unregistered) {
     cost *= kUnregisteredCostFactor;
--- a/src/libs/flows/stall_monitor.cc
+++ b/src/libs/flows/overdue_monitor.cc
@@ -1,4 +1,4 @@
-#include "flows/stall_monitor.h"
+#include "flows/overdue_monitor.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,7 +17,7 @@
 
 void UpdateService(const Service& service,
                    SteadyTime now,
-                   std::vector<StallChange>* changes) {
+                   std::vector<UnresponsiveChange>* changes) {
   std::vector<double> overdue;
   for (const Upstream* upstream : service.upstreams) {
     overdue.push_back(upstream->overdue_requests.Value(now));
@@ -26,24 +26,25 @@
     return;
   }
   const double threshold =
-      std::max(kMinOverdueRequests, kStallingRatio * Median(overdue));
+      std::max(kMinOverdueRequests, kUnresponsiveRatio * Median(overdue));
   for (size_t i = 0; i < overdue.size(); ++i) {
     Upstream* upstream = service.upstreams[i];
-    const bool is_stalling = overdue[i] >= threshold;
-    if (std::exchange(upstream->is_stalling, is_stalling) != is_stalling) {
-      changes->push_back({upstream->record.id, is_stalling});
+    const bool is_unresponsive = overdue[i] >= threshold;
+    if (std::exchange(upstream->is_unresponsive, is_unresponsive) !=
+        is_unresponsive) {
+      changes->push_back({upstream->record.id, is_unresponsive});
     }
   }
 }
 
 }  // namespace
 
-void StallMonitor::RecordOverdue(Upstream* upstream, SteadyTime now) {
+void OverdueMonitor::RecordOverdue(Upstream* upstream, SteadyTime now) {
   ++m_counts[upstream->record.id];
   upstream->overdue_requests.Add(1, now);
 }
 
-std::vector<OverdueCount> StallMonitor::TakeCounts() {
+std::vector<OverdueCount> OverdueMonitor::TakeCounts() {
   std::vector<OverdueCount> counts;
   for (const auto& [upstream_id, requests] : std::exchange(m_counts, {})) {
     counts.push_back({upstream_id, requests});
@@ -51,9 +52,10 @@
   return counts;
 }
 
-std::vector<StallChange> StallMonitor::Update(const RoutingTable& routing_table,
-                                              SteadyTime now) {
-  std::vector<StallChange> changes;
+std::vector<UnresponsiveChange> OverdueMonitor::Update(
+    const RoutingTable& routing_table,
+    SteadyTime now) {
+  std::vector<UnresponsiveChange> changes;
   for (const auto& [name, service] : routing_table.services()) {
     UpdateService(service, now, &changes);
   }
--- a/src/libs/flows/stall_monitor.h
+++ b/src/libs/flows/overdue_monitor.h
@@ -1,5 +1,5 @@
-#ifndef FLOWS_STALL_MONITOR_H_
-#define FLOWS_STALL_MONITOR_H_
+#ifndef FLOWS_OVERDUE_MONITOR_H_
+#define FLOWS_OVERDUE_MONITOR_H_
 
 #include <compare>
 #include <cstdint>
@@ -12,9 +12,9 @@
 
 // Overdue requests of an upstream below this number show nothing.
 inline constexpr double kMinOverdueRequests = 3;
-// An upstream stalls if it has this many times the overdue requests of the
-// median upstream of its service. Under overload all of them have many.
-inline constexpr double kStallingRatio = 4;
+// An upstream is unresponsive if it has this many times the overdue requests of
+// the median upstream of its service. Under overload all of them have many.
+inline constexpr double kUnresponsiveRatio = 4;
 
 // Requests of an upstream whose responses are overdue.
 struct OverdueCount {
@@ -24,12 +24,13 @@
   friend auto operator<=>(const OverdueCount&, const OverdueCount&) = default;
 };
 
-// An upstream that has begun or ceased to stall.
-struct StallChange {
+// An upstream that has become unresponsive or has ceased to be.
+struct UnresponsiveChange {
   uint64_t upstream_id = 0;
-  bool is_stalling = false;
+  bool is_unresponsive = false;
 
-  friend auto operator<=>(const StallChange&, const StallChange&) = default;
+  friend auto operator<=>(const UnresponsiveChange&,
+                          const UnresponsiveChange&) = default;
 };
 
 // Finds upstreams that leave a part of their requests unanswered although they
@@ -40,7 +41,7 @@
 // should avoid it. In a large fleet a host sends an upstream a request every
 // few seconds, so the hosts of a failure domain tell each other what is
 // overdue.
-class StallMonitor {
+class OverdueMonitor {
  public:
   // A request of this host is overdue.
   void RecordOverdue(Upstream* upstream, SteadyTime now);
@@ -49,9 +50,11 @@
   // to the other hosts.
   std::vector<OverdueCount> TakeCounts();
 
-  // Compares the upstreams of each service and marks those that stall.
-  static std::vector<StallChange> Update(const RoutingTable& routing_table,
-                                         SteadyTime now);
+  // Compares the upstreams of each service and marks the
+  // unresponsive ones.
+  static std::vector<UnresponsiveChange> Update(
+      const RoutingTable& routing_table,
+      SteadyTime now);
 
  private:
   // Keyed by the id of the upstream.
@@ -60,4 +63,4 @@
 
 }  // namespace poplarsail::flows
 
-#endif  // FLOWS_STALL_MONITOR_H_
+#endif  // FLOWS_OVERDUE_MONITOR_H_
--- a/src/libs/flows/routing_table.h
+++ b/src/libs/flows/routing_table.h
@@ -14,7 +14,7 @@
 
 namespace poplarsail::flows {
 
-// An upstream that stalled gets new flows again some half-lives after its last
+// An unresponsive upstream gets new flows again some half-lives after its last
 // overdue request.
 inline constexpr std::chrono::seconds kOverdueHalfLife{2};
 
@@ -48,7 +48,7 @@
   // Requests of all hosts of this failure domain whose responses were overdue.
   load::DecayingCount overdue_requests{kOverdueHalfLife};
   // It has far more overdue requests than others of its service.
-  bool is_stalling = false;
+  bool is_unresponsive = false;
   SteadyTime check_started;
   // The last check was triggered by another host's failure report, so the peers
   // already know of the failure.
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -15,10 +15,10 @@
 #include "flows/flow_scheduler.h"
 #include "flows/flow_table.h"
 #include "flows/loss_counts.h"
+#include "flows/overdue_monitor.h"
 #include "flows/placement.h"
 #include "flows/response_timeouts.h"
 #include "flows/routing_table.h"
-#include "flows/stall_monitor.h"
 #include "telemetry/telemetry.h"
 
 namespace poplarsail::flows {
@@ -180,14 +180,14 @@
   // Returns the overdue requests since the last call, for the other hosts of
   // the failure domain, and adds those that they report.
   std::vector<OverdueCount> TakeOverdueRequests() {
-    return m_stalls.TakeCounts();
+    return m_overdue_monitor.TakeCounts();
   }
   void AddOverdueRequests(const std::vector<OverdueCount>& counts,
                           SteadyTime now);
-  // Judges by the overdue requests which upstreams stall. Call several times a
-  // second.
-  std::vector<StallChange> UpdateStalls(SteadyTime now) {
-    return StallMonitor::Update(m_routing_table, now);
+  // Judges by the overdue requests which upstreams are unresponsive. Call
+  // several times a second.
+  std::vector<UnresponsiveChange> UpdateUnresponsive(SteadyTime now) {
+    return OverdueMonitor::Update(m_routing_table, now);
   }
 
   // Removes the records of idle flows. Call about once a second.
@@ -281,7 +281,7 @@
 
   std::unique_ptr<Placement> m_placement;
   FlowAdmission m_admission;
-  StallMonitor m_stalls;
+  OverdueMonitor m_overdue_monitor;
   LossCounts m_losses;
   FlowScheduler* m_scheduler = nullptr;
   RoutingTable m_routing_table;
--- a/src/libs/flows/steering_checks.cc
+++ b/src/libs/flows/steering_checks.cc
@@ -19,7 +19,7 @@
   }
   // A scheduler learns the speeds of its upstreams by itself.
   if (!packet.is_syn && !IsScheduled(upstream->record.service)) {
-    m_stalls.RecordOverdue(upstream, now);
+    m_overdue_monitor.RecordOverdue(upstream, now);
   }
   if (upstream->liveness.last_response() > flow->awaiting_response_since) {
     return {};
--- a/tests/auto/entry/tst_failure_report_channel.cc
+++ b/tests/auto/entry/tst_failure_report_channel.cc
@@ -6,18 +6,13 @@
 #include <memory>
 #include <vector>
 
+#include "free_endpoint.h"
+
 namespace poplarsail::entry {
 namespace {
 
 using boost::asio::ip::udp;
 
-model::Ipv4Endpoint FreeEndpoint(boost::asio::io_context* context) {
-  const udp::socket socket(*context,
-                           {boost::asio::ip::address_v4::loopback(), 0});
-  return {socket.local_endpoint().address().to_v4().to_uint(),
-          socket.local_endpoint().port()};
-}
-
 struct Host {
   explicit Host(boost::asio::io_context* context)
       : endpoint(FreeEndpoint(context)),
--- a/tests/auto/entry/tst_overdue_exchange.cc
+++ b/tests/auto/entry/tst_overdue_exchange.cc
@@ -2,23 +2,16 @@
 
 #include "entry/overdue_exchange.h"
 
-#include <boost/asio/ip/udp.hpp>
 #include <functional>
 #include <vector>
 
+#include "free_endpoint.h"
+
 namespace poplarsail::entry {
 namespace {
 
-using boost::asio::ip::udp;
 using flows::OverdueCount;
 
-model::Ipv4Endpoint FreeEndpoint(boost::asio::io_context* context) {
-  const udp::socket socket(*context,
-                           {boost::asio::ip::address_v4::loopback(), 0});
-  return {socket.local_endpoint().address().to_v4().to_uint(),
-          socket.local_endpoint().port()};
-}
-
 struct Host {
   explicit Host(boost::asio::io_context* context)
       : endpoint(FreeEndpoint(context)),
--- a/tests/auto/entry/tst_peer_probes.cc
+++ b/tests/auto/entry/tst_peer_probes.cc
@@ -2,23 +2,15 @@
 
 #include "entry/peer_probes.h"
 
-#include <boost/asio/ip/udp.hpp>
 #include <functional>
 #include <utility>
 #include <vector>
 
+#include "free_endpoint.h"
+
 namespace poplarsail::entry {
 namespace {
 
-using boost::asio::ip::udp;
-
-model::Ipv4Endpoint FreeEndpoint(boost::asio::io_context* context) {
-  const udp::socket socket(*context,
-                           {boost::asio::ip::address_v4::loopback(), 0});
-  return {socket.local_endpoint().address().to_v4().to_uint(),
-          socket.local_endpoint().port()};
-}
-
 // An entry host whose probes end when the test says so.
 struct Host : PeerProbes::Delegate {
   explicit Host(boost::asio::io_context* context)
--- a/tests/auto/flows/tst_stalls.cc
+++ b/tests/auto/flows/tst_overdue.cc
@@ -9,8 +9,8 @@
 namespace {
 
 // Five upstreams of one service.
-struct StallFixture : FlowFixture {
-  StallFixture() {
+struct OverdueFixture : FlowFixture {
+  OverdueFixture() {
     for (uint64_t id = 1; id <= kUpstreams; ++id) {
       AddUpstream(id);
     }
@@ -63,35 +63,35 @@
 // 19 of 120 upstreams answered 60 % of their requests for 6.6 s, and 546
 // requests ran into their clients' deadlines (zlab-west-grown, scale-1).
 TEST_CASE("New flows avoid an upstream that leaves requests unanswered") {
-  StallFixture fixture;
+  OverdueFixture fixture;
   fixture.LeaveUnanswered(3, 60);
-  CHECK(fixture.steering.UpdateStalls(fixture.now) ==
-        std::vector<StallChange>{{3, true}});
+  CHECK(fixture.steering.UpdateUnresponsive(fixture.now) ==
+        std::vector<UnresponsiveChange>{{3, true}});
   CHECK_FALSE(fixture.PlaceFlows(50).contains(3));
   // Its open flows stay: it lives.
   CHECK(fixture.Find(3).liveness.health(fixture.now) != Health::kPresumedDead);
   SECTION("for a while") {
     fixture.now += 10s;
-    CHECK(fixture.steering.UpdateStalls(fixture.now) ==
-          std::vector<StallChange>{{3, false}});
+    CHECK(fixture.steering.UpdateUnresponsive(fixture.now) ==
+          std::vector<UnresponsiveChange>{{3, false}});
     CHECK(fixture.PlaceFlows(50).contains(3));
   }
 }
 
 // In a large fleet a host sends an upstream a request every few seconds.
 TEST_CASE("Overdue requests of other hosts count") {
-  StallFixture fixture;
+  OverdueFixture fixture;
   fixture.steering.AddOverdueRequests(Overdue(2, 4), fixture.now);
-  CHECK(fixture.steering.UpdateStalls(fixture.now).size() == 1);
+  CHECK(fixture.steering.UpdateUnresponsive(fixture.now).size() == 1);
   CHECK_FALSE(fixture.PlaceFlows(50).contains(2));
   // They are not passed on.
   CHECK(fixture.steering.TakeOverdueRequests().empty());
   fixture.steering.AddOverdueRequests(Overdue(77, 4), fixture.now);
-  CHECK(fixture.steering.UpdateStalls(fixture.now).empty());
+  CHECK(fixture.steering.UpdateUnresponsive(fixture.now).empty());
 }
 
 TEST_CASE("Overdue requests are told to other hosts once") {
-  StallFixture fixture;
+  OverdueFixture fixture;
   fixture.LeaveUnanswered(1, 30);
   const auto counts = fixture.steering.TakeOverdueRequests();
   REQUIRE(counts.size() == 1);
@@ -101,26 +101,26 @@
 }
 
 // Under overload responses of all upstreams are overdue. No one is better.
-TEST_CASE("No upstream stalls if all have overdue requests") {
-  StallFixture fixture;
-  for (uint64_t id = 1; id <= StallFixture::kUpstreams; ++id) {
+TEST_CASE("No upstream is unresponsive if all have overdue requests") {
+  OverdueFixture fixture;
+  for (uint64_t id = 1; id <= OverdueFixture::kUpstreams; ++id) {
     fixture.steering.AddOverdueRequests(
         Overdue(id, 10 + static_cast<uint32_t>(id)), fixture.now);
   }
-  CHECK(fixture.steering.UpdateStalls(fixture.now).empty());
+  CHECK(fixture.steering.UpdateUnresponsive(fixture.now).empty());
 }
 
 TEST_CASE("A few overdue requests show nothing") {
-  StallFixture fixture;
+  OverdueFixture fixture;
   fixture.steering.AddOverdueRequests(Overdue(2, 2), fixture.now);
-  CHECK(fixture.steering.UpdateStalls(fixture.now).empty());
+  CHECK(fixture.steering.UpdateUnresponsive(fixture.now).empty());
 }
 
-TEST_CASE("A stalling upstream is used if there is no other") {
+TEST_CASE("An unresponsive upstream is used if there is no other") {
   FlowFixture fixture;
   fixture.AddUpstream(1);
   fixture.steering.AddOverdueRequests(Overdue(1, 9), fixture.now);
-  fixture.steering.UpdateStalls(fixture.now);
+  fixture.steering.UpdateUnresponsive(fixture.now);
   CHECK(fixture.steering.Decide(FlowFixture::Syn(1), fixture.now).action ==
         Action::kForward);
 }
