--- a/src/libs/entry/loss_log.cc
+++ b/src/libs/entry/loss_log.cc
@@ -1,5 +1,6 @@
 #include "entry/loss_log.h"
 
+#include <algorithm>
 #include <string>
 
 #include "telemetry/telemetry.h"
@@ -11,10 +12,15 @@
     return;
   }
   m_next_update = now + kLossLogInterval;
+  std::erase_if(m_logged, [&counts](const auto& item) {
+    return !counts.by_listener().contains(item.first);
+  });
   size_t lines = 0;
   for (const auto& [listener, by_cause] : counts.by_listener()) {
     flows::LossCounts::ByCause& logged = m_logged[listener];
     for (size_t i = 0; i < by_cause.size(); ++i) {
+      // The counts of a listener that was removed and added again begin at 0.
+      logged[i] = std::min(logged[i], by_cause[i]);
       if (by_cause[i] == logged[i] || lines >= kMaxLossLines) {
         continue;
       }
--- a/src/libs/flows/flow_admission.cc
+++ b/src/libs/flows/flow_admission.cc
@@ -29,6 +29,17 @@
   return is_refusal;
 }
 
+void FlowAdmission::RemoveUnknown(const RoutingTable& routing_table) {
+  const auto is_unknown_service = [&routing_table](const auto& item) {
+    return routing_table.FindService(item.first) == nullptr;
+  };
+  std::erase_if(m_detectors, [&routing_table](const auto& item) {
+    return routing_table.FindListener(item.first) == nullptr;
+  });
+  std::erase_if(m_services, is_unknown_service);
+  std::erase_if(m_credits, is_unknown_service);
+}
+
 double FlowAdmission::RefusedShare(const Upstream& upstream,
                                    SteadyTime now) const {
   const auto service = m_services.find(upstream.record.service);
--- a/src/libs/flows/flow_admission.h
+++ b/src/libs/flows/flow_admission.h
@@ -31,6 +31,9 @@
                     const load::AnswerSample& answer,
                     SteadyTime now);
 
+  // Forgets listeners and services that are no longer configured.
+  void RemoveUnknown(const RoutingTable& routing_table);
+
   // The share of requests that the upstream refuses. With few requests it
   // follows the other upstreams of the service.
   double RefusedShare(const Upstream& upstream, SteadyTime now) const;
--- a/src/libs/flows/loss_counts.cc
+++ b/src/libs/flows/loss_counts.cc
@@ -9,4 +9,10 @@
   return kNames[static_cast<size_t>(cause)];
 }
 
+void LossCounts::RemoveUnknown(const RoutingTable& routing_table) {
+  std::erase_if(m_counts, [&routing_table](const auto& item) {
+    return routing_table.FindListener(item.first) == nullptr;
+  });
+}
+
 }  // namespace poplarsail::flows
--- a/src/libs/flows/loss_counts.h
+++ b/src/libs/flows/loss_counts.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <unordered_map>
 
-#include "flows/flow_packet.h"
+#include "flows/routing_table.h"
 
 namespace poplarsail::flows {
 
@@ -43,6 +43,9 @@
     ++m_counts[listener][static_cast<size_t>(cause)];
   }
 
+  // Forgets listeners that are no longer configured.
+  void RemoveUnknown(const RoutingTable& routing_table);
+
   const ByListener& by_listener() const { return m_counts; }
 
  private:
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -23,9 +23,17 @@
                       SteadyTime now) {
   m_has_complete_state = cluster_state.IsComplete();
   m_routing_table.Update(cluster_state, now);
-  if (cluster_state.configuration() &&
-      cluster_state.configuration()->flow_idle_timeout.count() > 0) {
-    m_flow_idle_timeout = cluster_state.configuration()->flow_idle_timeout;
+  const auto& configuration = cluster_state.configuration();
+  if (!configuration) {
+    return;
+  }
+  if (configuration->flow_idle_timeout.count() > 0) {
+    m_flow_idle_timeout = configuration->flow_idle_timeout;
+  }
+  if (std::exchange(m_configuration_version, configuration->version) !=
+      configuration->version) {
+    m_admission.RemoveUnknown(m_routing_table);
+    m_losses.RemoveUnknown(m_routing_table);
   }
 }
 
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -290,6 +290,7 @@
   telemetry::LatencyHistogram m_handshake_times;
   telemetry::LatencyHistogram m_response_times;
   bool m_has_complete_state = false;
+  int64_t m_configuration_version = 0;
   bool m_are_registrations_current = true;
   std::chrono::milliseconds m_flow_idle_timeout{kDefaultFlowIdleTimeout};
 };
--- a/tests/auto/flows/tst_losses.cc
+++ b/tests/auto/flows/tst_losses.cc
@@ -60,6 +60,17 @@
   CHECK(fixture.Count(LossCause::kUnanswered) == 1);
 }
 
+TEST_CASE("Losses of a removed listener are forgotten") {
+  LossFixture fixture;
+  fixture.now += 500ms;
+  fixture.AcknowledgeResponse(1, fixture.open.tag);
+  REQUIRE(fixture.Count(LossCause::kLate) == 1);
+  fixture.EditConfiguration().listeners = {
+      {"sheets", kArchiveListener, {{"archive", 1}}}};
+  fixture.ApplyConfiguration();
+  CHECK(fixture.steering.losses().by_listener().empty());
+}
+
 TEST_CASE("A flow that ends after its response is no loss") {
   LossFixture fixture;
   fixture.now += 20ms;
