--- a/src/libs/entry/upstream_checker.cc
+++ b/src/libs/entry/upstream_checker.cc
@@ -18,8 +18,6 @@
 struct AttemptTimes {
   std::chrono::steady_clock::time_point reference_start;
   std::chrono::steady_clock::time_point deadline;
-
-  friend bool operator==(const AttemptTimes&, const AttemptTimes&) = default;
 };
 
 }  // namespace
--- a/src/libs/load/refusal_detector.cc
+++ b/src/libs/load/refusal_detector.cc
@@ -23,6 +23,7 @@
 constexpr std::chrono::duration<double> kRecentHalfLife{0.25};
 constexpr std::chrono::duration<double> kUsualHalfLife{30};
 constexpr std::chrono::duration<double> kBusyHalfLife{600};
+// Short answers that may follow each other and still be expected.
 constexpr double kMaxExpectedShort = 4;
 
 // Moves the mean by the weight that a sample has after the time from `since`,
