Admit new flows by the share that the median upstream refuses

A host of 91 sees an upstream too rarely to judge it alone, so the mean of the service stood in for it.

Change: a service refuses as the lower median of its upstreams with recent requests; the half-life is 500 ms, since a host sees few requests of each.

Test "Refusals by some slow upstreams turn nobody away".

--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -355,16 +355,16 @@
   m_components->steering.set_registrations_current(!IsStoreUnreachable());
   m_components->steering.EvictIdleFlows(now);
   m_components->packets.RunDueChecks();
-  UpdateUnresponsive(now);
+  JudgeUpstreams(now);
   ReloadIfChanged();
   m_components->log.Flush();
 }
 
-void EntryDaemon::UpdateUnresponsive(cluster_state::SteadyTime now) {
+void EntryDaemon::JudgeUpstreams(cluster_state::SteadyTime now) {
   flows::Steering& steering = m_components->steering;
   m_components->overdue_exchange.Broadcast(steering.TakeOverdueRequests());
   for (const flows::UnresponsiveChange& change :
-       steering.UpdateUnresponsive(now)) {
+       steering.JudgeUpstreams(now)) {
     telemetry::Log(telemetry::LogLevel::kInfo, "packets",
                    change.is_unresponsive
                        ? "upstream leaves requests unanswered"
--- a/src/libs/entry/entry_daemon.h
+++ b/src/libs/entry/entry_daemon.h
@@ -50,7 +50,7 @@
   bool IsStoreUnreachable() const;
   void OnTick();
   // Exchanges overdue requests with the other hosts and judges the upstreams.
-  void UpdateUnresponsive(cluster_state::SteadyTime now);
+  void JudgeUpstreams(cluster_state::SteadyTime now);
   void Stop();
   // Stops once the host gets no more packets, or at the latest time for it.
   void StopWhenQuiet();
--- a/src/libs/flows/flow_admission.cc
+++ b/src/libs/flows/flow_admission.cc
@@ -1,6 +1,9 @@
 #include "flows/flow_admission.h"
 
+#include <algorithm>
 #include <cmath>
+#include <cstddef>
+#include <vector>
 
 namespace poplarsail::flows {
 
@@ -10,6 +13,15 @@
 // of an ordinary load reach it.
 constexpr double kOrdinaryRefusedShare = 0.1;
 
+// Returns the lower of two median values. `values` is not empty; its order
+// changes.
+double Median(std::vector<double>* values) {
+  const auto middle =
+      values->begin() + static_cast<std::ptrdiff_t>((values->size() - 1) / 2);
+  std::nth_element(values->begin(), middle, values->end());
+  return *middle;
+}
+
 }  // namespace
 
 double AdmissionProbability(double refused_share) {
@@ -25,37 +37,38 @@
                                  SteadyTime now) {
   const bool is_refusal = m_detectors[listener].Add(answer, now);
   upstream->refusals.Add(is_refusal, now);
-  m_services[upstream->record.service].Add(is_refusal, now);
   return is_refusal;
 }
 
 void FlowAdmission::RemoveUnknown(const RoutingTable& routing_table) {
-  const auto is_unknown_service = [&routing_table](const auto& item) {
-    return routing_table.FindService(item.first) == nullptr;
-  };
   std::erase_if(m_detectors, [&routing_table](const auto& item) {
     return routing_table.FindListener(item.first) == nullptr;
   });
-  std::erase_if(m_services, is_unknown_service);
-  std::erase_if(m_credits, is_unknown_service);
+  std::erase_if(m_services, [&routing_table](const auto& item) {
+    return routing_table.FindService(item.first) == nullptr;
+  });
 }
 
-double FlowAdmission::RefusedShare(const Upstream& upstream,
-                                   SteadyTime now) const {
-  const auto service = m_services.find(upstream.record.service);
-  const double prior =
-      service == m_services.end() ? 0 : service->second.Estimate(0, now);
-  return upstream.refusals.Estimate(prior, now);
+void FlowAdmission::Update(const RoutingTable& routing_table, SteadyTime now) {
+  for (const auto& [name, service] : routing_table.services()) {
+    std::vector<double> shares;
+    for (const Upstream* upstream : service.upstreams) {
+      if (upstream->refusals.HasRecentRequests(now)) {
+        shares.push_back(upstream->refusals.Estimate(now));
+      }
+    }
+    m_services[name].refused_share = shares.empty() ? 0 : Median(&shares);
+  }
 }
 
 bool FlowAdmission::Admits(const Listener& listener,
-                           const Upstream& upstream,
-                           SteadyTime now) {
-  if (!listener.has_lowest_priority) {
+                           const std::string& service) {
+  const auto state = m_services.find(service);
+  if (!listener.has_lowest_priority || state == m_services.end()) {
     return true;
   }
-  double& credit = m_credits[upstream.record.service];
-  credit += AdmissionProbability(RefusedShare(upstream, now));
+  double& credit = state->second.credit;
+  credit += AdmissionProbability(state->second.refused_share);
   if (credit < 1) {
     return false;
   }
--- a/src/libs/flows/flow_admission.h
+++ b/src/libs/flows/flow_admission.h
@@ -34,22 +34,26 @@
   // Forgets listeners and services that are no longer configured.
   void RemoveUnknown(const RoutingTable& routing_table);
 
-  // The share of requests that the upstream refuses. With few requests it
-  // follows the other upstreams of the service.
-  double RefusedShare(const Upstream& upstream, SteadyTime now) const;
+  // Judges anew which share of requests the services refuse. Call several times
+  // a second.
+  void Update(const RoutingTable& routing_table, SteadyTime now);
 
-  // Whether the upstream's service takes a new flow.
-  bool Admits(const Listener& listener,
-              const Upstream& upstream,
-              SteadyTime now);
+  // Whether the service takes a new flow.
+  bool Admits(const Listener& listener, const std::string& service);
 
  private:
+  struct ServiceState {
+    // The share of requests that the median upstream refuses. If only some
+    // upstreams refuse requests, because they are slow, others have room.
+    double refused_share = 0;
+    // Sum of the admission probabilities since the last admitted flow, so that
+    // the admitted ones are spread evenly.
+    double credit = 0;
+  };
+
   std::unordered_map<Ipv4Endpoint, load::RefusalDetector> m_detectors;
   // Keyed by the name of the service.
-  std::unordered_map<std::string, load::RefusalShare> m_services;
-  // Sum of the admission probabilities since the last admitted flow, so that
-  // the admitted ones are spread evenly.
-  std::unordered_map<std::string, double> m_credits;
+  std::unordered_map<std::string, ServiceState> m_services;
 };
 
 // Returns the share of new flows to admit.
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -186,7 +186,8 @@
                           SteadyTime now);
   // Judges by the overdue requests which upstreams are unresponsive. Call
   // several times a second.
-  std::vector<UnresponsiveChange> UpdateUnresponsive(SteadyTime now) {
+  std::vector<UnresponsiveChange> JudgeUpstreams(SteadyTime now) {
+    m_admission.Update(m_routing_table, now);
     return OverdueMonitor::Update(m_routing_table, now);
   }
 
--- a/src/libs/flows/steering_placement.cc
+++ b/src/libs/flows/steering_placement.cc
@@ -66,7 +66,7 @@
   }
   // A copy may follow one that another host has already forwarded.
   const bool is_first = !is_retransmit && packet.retransmit_count == 0;
-  if (is_first && !m_admission.Admits(listener, *chosen, now)) {
+  if (is_first && !m_admission.Admits(listener, chosen->record.service)) {
     return RefuseFlow(flow, Reason::kNoRoom, now);
   }
   if (flow != nullptr) {
--- a/src/libs/load/refusal_share.cc
+++ b/src/libs/load/refusal_share.cc
@@ -8,11 +8,12 @@
 
 namespace {
 
-// A full queue empties within some 100 ms; older requests say little about the
-// present one.
-constexpr std::chrono::duration<double> kHalfLife{0.25};
-// Number of requests that the prior counts for.
-constexpr double kPriorRequests = 4;
+// In a large fleet a host sends an upstream a few requests per second.
+constexpr std::chrono::duration<double> kHalfLife{0.5};
+// Weight of the requests that count as not refused, so that a single refusal is
+// no large share.
+constexpr double kPriorRequests = 1;
+constexpr double kMinRequests = 0.5;
 
 }  // namespace
 
@@ -23,10 +24,13 @@
   m_aged_at = now;
 }
 
-double RefusalShare::Estimate(double prior, SteadyTime now) const {
+bool RefusalShare::HasRecentRequests(SteadyTime now) const {
+  return m_requests * Decay(m_aged_at, now, kHalfLife) >= kMinRequests;
+}
+
+double RefusalShare::Estimate(SteadyTime now) const {
   const double left = Decay(m_aged_at, now, kHalfLife);
-  return (m_refused * left + kPriorRequests * prior) /
-         (m_requests * left + kPriorRequests);
+  return m_refused * left / (m_requests * left + kPriorRequests);
 }
 
 }  // namespace poplarsail::load
--- a/src/libs/load/refusal_share.h
+++ b/src/libs/load/refusal_share.h
@@ -7,15 +7,14 @@
 
 using cluster_state::SteadyTime;
 
-// The share of recent requests that were refused, by an upstream or by all
-// upstreams of a service.
+// The share of an upstream's recent requests that it refused.
 class RefusalShare {
  public:
   void Add(bool is_refused, SteadyTime now);
 
-  // The estimated share. `prior` is the share assumed without requests; it
-  // counts like a few of them.
-  double Estimate(double prior, SteadyTime now) const;
+  // Whether there were enough requests for an estimate.
+  bool HasRecentRequests(SteadyTime now) const;
+  double Estimate(SteadyTime now) const;
 
  private:
   double m_requests = 0;
--- a/src/tools/emulator/host_model.cc
+++ b/src/tools/emulator/host_model.cc
@@ -135,6 +135,7 @@
 void HostModel::Tick() {
   const SteadyTime now = m_events->now();
   m_steering.EvictIdleFlows(now);
+  m_steering.JudgeUpstreams(now);
   for (const flows::Upstream* upstream : m_steering.StartDueChecks(now)) {
     StartCheck(upstream->record.id);
   }
--- a/tests/auto/flows/tst_admission.cc
+++ b/tests/auto/flows/tst_admission.cc
@@ -51,6 +51,7 @@
 
   // Returns how many of 50 new flows are admitted.
   int CountAdmitted(const Ipv4Endpoint& listener, uint32_t retransmits = 0) {
+    steering.JudgeUpstreams(now);
     int admitted = 0;
     for (int i = 0; i < 50; ++i) {
       const Decision decision =
@@ -116,6 +117,21 @@
   CHECK(fixture.CountAdmitted(kFeedListener) == 50);
 }
 
+// Flows that were open at slow upstreams had a quarter of all requests refused,
+// and callers were turned away while other upstreams had room (zlab-west-grown,
+// crowded, seed 2).
+TEST_CASE("Refusals by some slow upstreams turn nobody away") {
+  OverloadFixture fixture;
+  fixture.AddUpstream(3);
+  for (uint64_t id = 1; id <= 3; ++id) {
+    Upstream* upstream = fixture.steering.routing_table().FindUpstream(id);
+    for (int i = 0; i < 50; ++i) {
+      upstream->refusals.Add(id == 1, fixture.now);
+    }
+  }
+  CHECK(fixture.CountAdmitted(kFeedListener) == 50);
+}
+
 // Redirects and errors are as short as refusals.
 TEST_CASE("Short answers without a queue refuse no flow") {
   OverloadFixture fixture;
