--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -363,8 +363,7 @@
 void EntryDaemon::JudgeUpstreams(cluster_state::SteadyTime now) {
   flows::Steering& steering = m_components->steering;
   m_components->overdue_exchange.Broadcast(steering.TakeOverdueRequests());
-  for (const flows::UnresponsiveChange& change :
-       steering.JudgeUpstreams(now)) {
+  for (const flows::UnresponsiveChange& change : steering.JudgeUpstreams(now)) {
     telemetry::Log(telemetry::LogLevel::kInfo, "packets",
                    change.is_unresponsive
                        ? "upstream leaves requests unanswered"
