Two comments say what the code does

Overdue upstreams beyond the 32 of a message are dropped, not sent with the next one; JudgeUpstreams also updates the admission of new flows. Comments only.

--- a/src/libs/entry/overdue_exchange.h
+++ b/src/libs/entry/overdue_exchange.h
@@ -14,7 +14,7 @@
 
 // Limit for messages sent, including IP and UDP headers.
 inline constexpr double kOverdueBytesPerSecond = 8'000;
-// Upstreams in one message; the others follow in the next one.
+// Upstreams in one message; those beyond are not told.
 inline constexpr size_t kMaxOverdueUpstreams = 32;
 // A host with more overdue requests of one upstream in a message is not
 // believed to have more.
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -184,8 +184,9 @@
   }
   void AddOverdueRequests(const std::vector<OverdueCount>& counts,
                           SteadyTime now);
-  // Judges by the overdue requests which upstreams are unresponsive. Call
-  // several times a second.
+  // Judges by the overdue requests which upstreams are unresponsive, and by
+  // their refusals how many new flows a service takes. Call several times a
+  // second.
   std::vector<UnresponsiveChange> JudgeUpstreams(SteadyTime now) {
     m_admission.Update(m_routing_table, now);
     return OverdueMonitor::Update(m_routing_table, now);
