--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -480,7 +480,7 @@
     const Verdict verdict = chosen->second(&rig, std::string(argv[4]) != "0");
     const std::string summary =
         verdict.rule + (verdict.broken > 0 ? " broken" : " held") + ", " +
-        std::to_string(verdict.broken) + " times; requests served " +
+        std::to_string(verdict.broken) + " times; flows served " +
         std::to_string(rig.served) + ", not served " +
         std::to_string(rig.unserved);
     rig.Log(summary);
