--- a/src/libs/entry/cluster_state_codec.cc
+++ b/src/libs/entry/cluster_state_codec.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <fmt/format.h>
+#include <msgpack.hpp>
 #include <nlohmann/json.hpp>
 
 namespace poplarsail::entry {
@@ -289,6 +290,28 @@
   return capacities;
 }
 
+// Levels of a state message: message, kind, objects, object, record, listeners,
+// listener, shares, share.
+constexpr size_t kMaxMessageLevels = 16;
+
+// Rejects messages that are nested more deeply than kMaxMessageLevels. Decoding
+// them would recurse once a level.
+class NestingLimit : public msgpack::null_visitor {
+ public:
+  bool start_array(uint32_t) { return ++m_level <= kMaxMessageLevels; }
+  bool start_map(uint32_t) { return ++m_level <= kMaxMessageLevels; }
+  bool end_array() { return --m_level < kMaxMessageLevels; }
+  bool end_map() { return --m_level < kMaxMessageLevels; }
+
+ private:
+  size_t m_level = 0;
+};
+
+bool IsNestingLimited(std::string_view message) {
+  NestingLimit limit;
+  return msgpack::parse(message.data(), message.size(), limit);
+}
+
 }  // namespace
 
 KnownVersions KnownVersionsOf(const ClusterState& cluster_state) {
@@ -366,6 +389,9 @@
     throw StateMessageError(fmt::format(
         "message of {} bytes exceeds the size limit", message.size()));
   }
+  if (!IsNestingLimited(message)) {
+    throw StateMessageError("message is nested too deeply or is cut off");
+  }
   try {
     const json parsed = json::from_msgpack(message);
     const int version = parsed.at("version").get<int>();
--- a/tests/auto/entry/tst_cluster_state_codec.cc
+++ b/tests/auto/entry/tst_cluster_state_codec.cc
@@ -322,5 +322,15 @@
   CHECK_FALSE(IsNewer(veteran, KnownVersionsOf(newcomer)));
 }
 
+// Guards against a stack overflow while a message is decoded.
+TEST_CASE("A deeply nested message is refused") {
+  constexpr char kArrayOfOne = '\x91';
+  ClusterState receiver;
+  CHECK_THROWS_AS(
+      MergeClusterState(std::string(1'000'000, kArrayOfOne) + '\xc0', &receiver,
+                        kNow),
+      StateMessageError);
+}
+
 }  // namespace
 }  // namespace poplarsail::entry
--- a/tests/auto/platform/tst_http_state_store.cc
+++ b/tests/auto/platform/tst_http_state_store.cc
@@ -1,68 +1,15 @@
 #include <catch2/catch.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/io_context.hpp>
-#include <exception>
-#include <functional>
-#include <optional>
-
 #include "objects/objects.h"
-#include "platform/http_state_store.h"
-#include "standins/fake_platform_store.h"
-#include "standins/platform_objects.h"
+#include "store_fixture.h"
 
 namespace poplarsail::platform {
 namespace {
 
 using cluster_state::ObjectKind;
-using nlohmann::json;
-using standins::FakePlatformStore;
 using standins::StoreMode;
 using namespace std::chrono_literals;
 
-json UpstreamSpec(const std::string& state) {
-  return standins::RegistrationSpec("tally", {0x0a000001, 80}, "regina", state);
-}
-
-class StoreFixture {
- public:
-  // Runs one call until it completes and returns its result or throws its
-  // error.
-  template <typename Result>
-  Result Await(boost::asio::awaitable<Result> call) {
-    std::optional<Result> result;
-    std::exception_ptr failure;
-    bool is_done = false;
-    boost::asio::co_spawn(context, std::move(call),
-                          [&](const std::exception_ptr& error, Result value) {
-                            failure = error;
-                            result = std::move(value);
-                            is_done = true;
-                          });
-    RunUntil([&]() { return is_done; });
-    if (failure) {
-      std::rethrow_exception(failure);
-    }
-    return *result;
-  }
-
-  void RunUntil(const std::function<bool()>& condition) {
-    context.restart();
-    while (!condition()) {
-      REQUIRE(context.run_one() > 0);
-    }
-  }
-
-  boost::asio::io_context context;
-  FakePlatformStore store{&context,
-                          {boost::asio::ip::make_address("127.0.0.1"), 0}};
-  HttpStateStore state{&context, store.endpoint()};
-};
-
-cluster_state::SteadyTime FromNow(std::chrono::milliseconds wait) {
-  return std::chrono::steady_clock::now() + wait;
-}
-
 TEST_CASE("A list contains the objects of all pages") {
   StoreFixture fixture;
   fixture.store.set_page_size(2);
--- a/tests/auto/platform/tst_object_decoder.cc
+++ b/tests/auto/platform/tst_object_decoder.cc
@@ -11,9 +11,8 @@
 
 const cluster_state::SteadyTime kNow{1'000s};
 
-json Object(const std::string& name, json spec) {
-  return {{"meta", {{"name", name}, {"revision", 7}}},
-          {"spec", std::move(spec)}};
+ObjectIdentity Identity(const std::string& name) {
+  return {name, 7};
 }
 
 json UpstreamSpec() {
@@ -37,9 +36,9 @@
 }
 
 TEST_CASE("An upstream registration is decoded") {
-  const auto entry =
-      std::get<cluster_state::ClusterState::UpstreamEntry>(DecodeObject(
-          ObjectKind::kUpstreams, Object("i-7f3a91c2", UpstreamSpec()), kNow));
+  const auto entry = std::get<cluster_state::ClusterState::UpstreamEntry>(
+      DecodeObject(ObjectKind::kUpstreams, Identity("i-7f3a91c2"),
+                   UpstreamSpec(), kNow));
   CHECK(entry.name == "i-7f3a91c2");
   CHECK(entry.revision == 7);
   REQUIRE(entry.value.has_value());
@@ -106,21 +105,21 @@
     spec = nullptr;
   }
   CHECK_THROWS_AS(
-      DecodeObject(ObjectKind::kUpstreams, Object("i-7f3a91c2", spec), kNow),
+      DecodeObject(ObjectKind::kUpstreams, Identity("i-7f3a91c2"), spec, kNow),
       MalformedObjectError);
 }
 
 TEST_CASE("A registration without a valid id in its name is rejected") {
   const std::string name = GENERATE("", "xyz", "i-11112222333344445");
-  CHECK_THROWS_AS(
-      DecodeObject(ObjectKind::kUpstreams, Object(name, UpstreamSpec()), kNow),
-      MalformedObjectError);
+  CHECK_THROWS_AS(DecodeObject(ObjectKind::kUpstreams, Identity(name),
+                               UpstreamSpec(), kNow),
+                  MalformedObjectError);
 }
 
 TEST_CASE("The configuration is decoded") {
   const auto entry = std::get<cluster_state::ClusterState::ConfigurationEntry>(
-      DecodeObject(ObjectKind::kConfiguration,
-                   Object("main", ConfigurationSpec()), kNow));
+      DecodeObject(ObjectKind::kConfiguration, Identity("main"),
+                   ConfigurationSpec(), kNow));
   REQUIRE(entry.value.has_value());
   CHECK(entry.value->version == 7);
   REQUIRE(entry.value->listeners.size() == 2);
@@ -149,7 +148,7 @@
   spec["routes"][0]["aim_ms"] = value;
   spec["routes"][0]["timeout_ms"] = value;
   const auto entry = std::get<cluster_state::ClusterState::ConfigurationEntry>(
-      DecodeObject(ObjectKind::kConfiguration, Object("main", spec), kNow));
+      DecodeObject(ObjectKind::kConfiguration, Identity("main"), spec, kNow));
   REQUIRE(entry.value.has_value());
   CHECK(entry.value->listeners[0].priority == std::nullopt);
   CHECK(entry.value->listeners[0].latency_target == 0ms);
@@ -180,14 +179,14 @@
     spec.erase("limits");
   }
   CHECK_THROWS_AS(
-      DecodeObject(ObjectKind::kConfiguration, Object("main", spec), kNow),
+      DecodeObject(ObjectKind::kConfiguration, Identity("main"), spec, kNow),
       MalformedObjectError);
 }
 
 TEST_CASE("The name of an evacuation is its failure domain") {
   const auto entry =
       std::get<cluster_state::ClusterState::EvacuationEntry>(DecodeObject(
-          ObjectKind::kEvacuations, Object("regina", json::object()), kNow));
+          ObjectKind::kEvacuations, Identity("regina"), json::object(), kNow));
   CHECK(entry.value->failure_domain == "regina");
 }
 
--- a/tests/standins/fake_platform_store.cc
+++ b/tests/standins/fake_platform_store.cc
@@ -90,6 +90,26 @@
   return m_revision;
 }
 
+uint64_t FakePlatformStore::PutText(const std::string& kind,
+                                    const std::string& name,
+                                    std::string spec) {
+  const std::string placeholder =
+      "spec text " + std::to_string(m_spec_texts.size()) + ".";
+  m_spec_texts[placeholder] = std::move(spec);
+  return Put(kind, name, placeholder);
+}
+
+std::string FakePlatformStore::InsertSpecTexts(std::string body) const {
+  for (const auto& [placeholder, text] : m_spec_texts) {
+    const std::string quoted = json(placeholder).dump();
+    for (size_t at = body.find(quoted); at != std::string::npos;
+         at = body.find(quoted, at + text.size())) {
+      body.replace(at, quoted.size(), text);
+    }
+  }
+  return body;
+}
+
 void FakePlatformStore::Remove(const std::string& kind,
                                const std::string& name) {
   const auto found = m_objects[kind].find(name);
@@ -219,7 +239,7 @@
   if (m_era > 0) {
     session->response.set("Store-Era", std::to_string(m_era));
   }
-  session->response.body() = body.dump();
+  session->response.body() = InsertSpecTexts(body.dump());
   session->response.prepare_payload();
   if (m_mode != StoreMode::kLateResponses) {
     return SendResponse(session);
--- a/tests/standins/fake_platform_store.h
+++ b/tests/standins/fake_platform_store.h
@@ -55,6 +55,11 @@
                const std::string& name,
                const nlohmann::json& spec);
   void Remove(const std::string& kind, const std::string& name);
+  // Writes an object whose spec is any text, valid JSON or not. The store
+  // serves it as it is.
+  uint64_t PutText(const std::string& kind,
+                   const std::string& name,
+                   std::string spec);
   // Drops the event history: watches from an earlier revision get status 410.
   void Compact();
 
@@ -98,6 +103,8 @@
                unsigned status,
                const nlohmann::json& body);
   void SendResponse(const std::shared_ptr<Session>& session);
+  // Replaces the placeholders in a body.
+  std::string InsertSpecTexts(std::string body) const;
   void ServeList(const std::shared_ptr<Session>& session,
                  const std::string& kind,
                  const std::string& after);
@@ -124,6 +131,8 @@
     uint64_t revision = 1;
   };
   Snapshot m_snapshot;
+  // Texts of specs that are not JSON, by the placeholder that stands for them.
+  std::map<std::string, std::string> m_spec_texts;
   std::list<std::weak_ptr<Session>> m_sessions;
   uint64_t m_era = 0;
   uint64_t m_revision = 1;
