--- a/src/libs/entry/store_watcher.cc
+++ b/src/libs/entry/store_watcher.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <exception>
 #include <string>
 #include <utility>
 
@@ -60,6 +61,12 @@
       continue;
     } catch (const objects::ObjectStoreError& error) {
       failure = error.what();
+    } catch (const std::exception& error) {
+      // The daemon goes on with what it knows, whatever a response contains.
+      failure = error.what();
+      telemetry::Log(telemetry::LogLevel::kError, "state",
+                     "response of the store can't be applied",
+                     {{"kind", KindToLabel(m_kind)}, {"reason", failure}});
     }
     RecordFailure(failure.c_str());
     const auto backoff = kInitialRetryDelay * (1 << std::min(m_failures, 10U));
--- a/src/libs/telemetry/log.cc
+++ b/src/libs/telemetry/log.cc
@@ -12,6 +12,9 @@
 
 namespace {
 
+// Longer values of fields are cut off.
+constexpr size_t kMaxValueBytes = 256;
+
 LogSink* g_sink = nullptr;
 
 std::string_view LevelName(LogLevel level) {
@@ -28,7 +31,8 @@
 
 bool NeedsQuotes(std::string_view value) {
   for (const char c : value) {
-    const bool is_plain = c > ' ' && c != '"' && c != '=' && c != '\\';
+    const bool is_plain = static_cast<unsigned char>(c) > ' ' && c != '"' &&
+                          c != '=' && c != '\\';
     if (!is_plain) {
       return true;
     }
@@ -36,7 +40,23 @@
   return value.empty();
 }
 
-std::string Quoted(std::string_view value) {
+// Cuts a value off between two characters of UTF-8.
+std::string_view Truncated(std::string_view value) {
+  if (value.size() <= kMaxValueBytes) {
+    return value;
+  }
+  const auto is_continuation = [](char c) {
+    return (static_cast<unsigned char>(c) & 0xc0) == 0x80;
+  };
+  size_t size = kMaxValueBytes;
+  while (size > 0 && is_continuation(value[size])) {
+    --size;
+  }
+  return value.substr(0, size);
+}
+
+std::string Quoted(std::string_view whole_value) {
+  const std::string_view value = Truncated(whole_value);
   if (!NeedsQuotes(value)) {
     return std::string(value);
   }
--- a/tests/auto/entry/tst_store_watcher.cc
+++ b/tests/auto/entry/tst_store_watcher.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <deque>
 #include <functional>
+#include <stdexcept>
 #include <string>
 
 #include "objects/objects.h"
@@ -142,6 +143,20 @@
   CHECK(fixture.cluster_state.upstreams().at("2").is_unregistered);
 }
 
+// Guards against the end of the process by a response that causes an error
+// which is not one of the store.
+TEST_CASE("An unexpected error of a response is retried") {
+  WatcherFixture fixture;
+  fixture.store.Then(
+      [](uint64_t) -> StateBatch { throw std::length_error("response"); });
+  fixture.store.Then([](uint64_t) {
+    return StateBatch{{Upstream(1, 5)}, {0, 7}};
+  });
+  fixture.RunScript();
+  CHECK(fixture.store.lists == 2);
+  CHECK(fixture.cluster_state.upstreams().size() == 1);
+}
+
 TEST_CASE("After an outage the watch resumes and the state is kept") {
   WatcherFixture fixture;
   fixture.store.Then([](uint64_t) {
--- /dev/null
+++ b/tests/auto/telemetry/tst_log.cc
@@ -0,0 +1,31 @@
+#include <catch2/catch.hpp>
+
+#include <string>
+
+#include "telemetry/telemetry.h"
+
+namespace poplarsail::telemetry {
+namespace {
+
+std::string LineWith(const std::string& value) {
+  return FormatLogLine(LogLevel::kInfo, "store", "x", {{"name", value}});
+}
+
+TEST_CASE("A value is quoted if it contains separators or control characters") {
+  CHECK(LineWith("i-7f") == "level=info duty=store msg=x name=i-7f");
+  CHECK(LineWith("a b") == R"(level=info duty=store msg=x name="a b")");
+  CHECK(LineWith("a\"\n") == R"(level=info duty=store msg=x name="a\"?")");
+  CHECK(LineWith("\xc3\xa9") == "level=info duty=store msg=x name=\xc3\xa9");
+}
+
+// Guards against log lines as long as what another writer stored.
+TEST_CASE("A long value is cut off between two characters") {
+  const std::string prefix = "level=info duty=store msg=x name=";
+  CHECK(LineWith(std::string(1'000'000, 'a')) ==
+        prefix + std::string(256, 'a'));
+  CHECK(LineWith(std::string(255, 'a') + "\xc3\xa9") ==
+        prefix + std::string(255, 'a'));
+}
+
+}  // namespace
+}  // namespace poplarsail::telemetry
