--- a/src/libs/model/endpoint.cc
+++ b/src/libs/model/endpoint.cc
@@ -8,7 +8,9 @@
 
 std::optional<Endpoint> ParseEndpoint(std::string_view text) {
   const size_t colon = text.rfind(':');
-  if (colon == std::string_view::npos) {
+  // The address parser reads up to a null character.
+  if (colon == std::string_view::npos ||
+      text.find('\0') != std::string_view::npos) {
     return std::nullopt;
   }
   std::string_view host = text.substr(0, colon);
--- a/tests/auto/platform/tst_object_decoder.cc
+++ b/tests/auto/platform/tst_object_decoder.cc
@@ -109,8 +109,48 @@
       MalformedObjectError);
 }
 
+// Guards against conversions of numbers that their types can't hold, which may
+// yield any time or, with sanitizers, end the process.
+TEST_CASE("A registration with a number out of range is rejected") {
+  json spec = UpstreamSpec();
+  SECTION("a cold start of ages") {
+    spec["cold_left_ms"] = GENERATE(json(1e308), json(1e19), json(UINT64_MAX));
+  }
+  SECTION("slots above 64 bits with a sign") {
+    spec["slots"] = UINT64_MAX;
+  }
+  SECTION("a sequence above 64 bits with a sign") {
+    spec["seq"] = UINT64_MAX;
+  }
+  SECTION("a port out of range") {
+    spec["address"] = GENERATE("10.1.2.3:0", "10.1.2.3:65536", "10.1.2.3:-1",
+                               "10.1.2.3:+80", "10.1.2.3:18446744073709551696");
+  }
+  CHECK_THROWS_AS(
+      DecodeObject(ObjectKind::kUpstreams, Identity("i-7f3a91c2"), spec, kNow),
+      MalformedObjectError);
+}
+
+TEST_CASE("A registration with an address of no single host is rejected") {
+  json spec = UpstreamSpec();
+  spec["address"] =
+      GENERATE(as<std::string>(), "0.0.0.0:80", "224.0.0.1:80",
+               "255.255.255.255:80", std::string("10.1.2.3\0x:80", 13));
+  CHECK_THROWS_AS(
+      DecodeObject(ObjectKind::kUpstreams, Identity("i-7f3a91c2"), spec, kNow),
+      MalformedObjectError);
+}
+
+TEST_CASE("A start time out of range counts as not stated") {
+  json spec = UpstreamSpec();
+  spec["born"] = GENERATE(json(UINT64_MAX), json(1e300), json("now"));
+  const auto entry = std::get<cluster_state::ClusterState::UpstreamEntry>(
+      DecodeObject(ObjectKind::kUpstreams, Identity("i-7f3a91c2"), spec, kNow));
+  CHECK(entry.value->started_unix_ms == 0);
+}
+
 TEST_CASE("A registration without a valid id in its name is rejected") {
-  const std::string name = GENERATE("", "xyz", "i-11112222333344445");
+  const std::string name = GENERATE("", "xyz", "i-0", "i-11112222333344445");
   CHECK_THROWS_AS(DecodeObject(ObjectKind::kUpstreams, Identity(name),
                                UpstreamSpec(), kNow),
                   MalformedObjectError);
@@ -141,8 +181,9 @@
 // A malformed value that only scheduling needs must not reject a configuration
 // that was accepted before.
 TEST_CASE("Malformed optional fields of a route count as not stated") {
-  const json value = GENERATE(json("high"), json(-1), json(1.5), json(1e12),
-                              json(int64_t{1} << 40), json(nullptr));
+  const json value =
+      GENERATE(json("high"), json(-1), json(1.5), json(1e12),
+               json(int64_t{1} << 40), json(UINT64_MAX), json(nullptr));
   json spec = ConfigurationSpec();
   spec["routes"][0]["priority"] = value;
   spec["routes"][0]["aim_ms"] = value;
@@ -178,11 +219,25 @@
   SECTION("no limits") {
     spec.erase("limits");
   }
+  SECTION("a weight out of range") {
+    spec["routes"][0]["backends"][0]["weight"] = int64_t{1} << 40;
+  }
+  SECTION("a version above 64 bits with a sign") {
+    spec["version"] = UINT64_MAX;
+  }
   CHECK_THROWS_AS(
       DecodeObject(ObjectKind::kConfiguration, Identity("main"), spec, kNow),
       MalformedObjectError);
 }
 
+TEST_CASE("An idle timeout of ages is limited to a day") {
+  json spec = ConfigurationSpec();
+  spec["limits"]["idle_timeout_ms"] = INT64_MAX;
+  const auto entry = std::get<cluster_state::ClusterState::ConfigurationEntry>(
+      DecodeObject(ObjectKind::kConfiguration, Identity("main"), spec, kNow));
+  CHECK(entry.value->flow_idle_timeout == 24h);
+}
+
 TEST_CASE("The name of an evacuation is its failure domain") {
   const auto entry =
       std::get<cluster_state::ClusterState::EvacuationEntry>(DecodeObject(
