Reset no flow for what an old list may lack

Cause: the lists of a start may be seconds old. A host took any list for the latest data: packets without a listener were reset at once, and the comparison with the latest revision came 300 ms later. Ruled out: the order of versions and merges from peers; the log shows the list of an older revision, the resets, then the newer configuration of a peer.

Change: StateCurrency tells which kinds are known as of the start of the host or later. Before that packets without a listener, and SYNs without an upstream, are held instead of reset; readiness and forwarding stay as they were. A stale list is found out as soon as the latest revision is known. Same cause elsewhere: an open flow of a listener that a host does not know yet has a grace period, as unknown tags have.

Why it works: a reset is final for the caller, a packet that is held or dropped is sent again after 200 ms. With the latest revision listed the lack of a listener is a fact.

--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -26,6 +26,7 @@
 #include "entry/peer_probes.h"
 #include "entry/peer_socket.h"
 #include "entry/retry_gate.h"
+#include "entry/state_currency.h"
 #include "entry/store_watcher.h"
 #include "flows/flows.h"
 #include "telemetry/telemetry.h"
@@ -40,6 +41,11 @@
 // Interval for expiring upstreams, evicting idle flows and flushing the log.
 constexpr std::chrono::milliseconds kTickInterval{250};
 
+constexpr std::array<cluster_state::ObjectKind, cluster_state::kObjectKindCount>
+    kWatchedKinds = {cluster_state::ObjectKind::kConfiguration,
+                     cluster_state::ObjectKind::kUpstreams,
+                     cluster_state::ObjectKind::kEvacuations};
+
 // Returns the placement and stores a non-owning pointer in `placement_out`.
 std::unique_ptr<flows::Placement> MakePlacement(
     const EntrySettings& settings,
@@ -105,6 +111,7 @@
   RetryGate retry_gate;
   // Shared by all store watchers.
   VersionFloor version_floor;
+  StateCurrency currency;
   PeerSocket peer_socket;
   FailureReportChannel failure_reports;
   PeerProbes peer_probes;
@@ -144,6 +151,7 @@
                   {"packets", model::ToString(m_settings.packets)},
                   {"store", model::ToString(m_settings.store)}});
   StartStoreWatchers();
+  UpdateCurrency();
   StartServers();
   StartTimers();
   StartSignals();
@@ -214,10 +222,6 @@
 }
 
 void EntryDaemon::StartStoreWatchers() {
-  constexpr std::array<cluster_state::ObjectKind, 3> kWatchedKinds = {
-      cluster_state::ObjectKind::kConfiguration,
-      cluster_state::ObjectKind::kUpstreams,
-      cluster_state::ObjectKind::kEvacuations};
   for (const cluster_state::ObjectKind kind : kWatchedKinds) {
     m_components->store_watchers.push_back(std::make_unique<StoreWatcher>(
         m_context, m_platform.store.get(), &m_components->retry_gate,
@@ -306,6 +310,7 @@
 }
 
 void EntryDaemon::OnClusterStateChange() {
+  UpdateCurrency();
   m_components->steering.Update(m_components->cluster_state,
                                 std::chrono::steady_clock::now());
   m_components->scheduling.Update(m_components->cluster_state);
@@ -314,6 +319,25 @@
   LogConfigurationInForce();
 }
 
+bool EntryDaemon::UpdateCurrency() {
+  bool has_changed = false;
+  for (const auto& watcher : m_components->store_watchers) {
+    const bool is_newly_current = m_components->currency.Update(
+        watcher->kind(), m_components->version_floor,
+        m_components->cluster_state);
+    if (is_newly_current) {
+      telemetry::Log(telemetry::LogLevel::kInfo, "state", "objects are current",
+                     {{"kind", watcher->kind_label()}});
+    }
+    has_changed |= is_newly_current;
+  }
+  m_components->steering.set_current(
+      m_components->currency.IsCurrent(
+          cluster_state::ObjectKind::kConfiguration),
+      m_components->currency.IsCurrent(cluster_state::ObjectKind::kUpstreams));
+  return has_changed;
+}
+
 void EntryDaemon::LogConfigurationInForce() {
   const cluster_state::ClusterState& state = m_components->cluster_state;
   if (!state.configuration() ||
@@ -352,6 +376,10 @@
   if (m_components->cluster_state.generation() != generation_before) {
     OnClusterStateChange();
   }
+  // A watch or a peer may confirm the state without a change of it.
+  if (UpdateCurrency()) {
+    m_components->packets.RetryHeldPackets();
+  }
   m_components->steering.set_registrations_current(!IsStoreUnreachable());
   m_components->steering.EvictIdleFlows(now);
   m_components->packets.RunDueChecks();
--- a/src/libs/entry/entry_daemon.h
+++ b/src/libs/entry/entry_daemon.h
@@ -44,6 +44,9 @@
   void Reload();
   void ReloadIfChanged();
   void OnClusterStateChange();
+  // Tells the steering which kinds of objects are current. Returns whether one
+  // has become so.
+  bool UpdateCurrency();
   void LogReadiness();
   void LogConfigurationInForce();
   std::string MetricsText() const;
--- a/src/libs/entry/store_watcher.cc
+++ b/src/libs/entry/store_watcher.cc
@@ -82,8 +82,7 @@
 boost::asio::awaitable<void> StoreWatcher::ListOrWatch() {
   if (m_watch_version.revision == 0) {
     co_await List();
-    // Meanwhile the list of the reference kind arrives.
-    co_await Sleep(m_timing.coalesce_delay);
+    co_await WaitForFloor();
     co_return;
   }
   if (m_is_list_unverified && m_floor->IsKnown()) {
@@ -128,15 +127,23 @@
   m_call_start = std::chrono::steady_clock::now();
   const StateBatch batch = co_await m_store->List(m_kind, freshness);
   RecordSuccess();
-  Apply(batch, true);
-  m_watch_version = batch.version;
-  m_is_list_unverified = freshness == ReadFreshness::kMayBeStale;
   if (freshness == ReadFreshness::kLatest) {
     m_floor->Raise(batch.version);
   }
+  Apply(batch, true);
+  m_watch_version = batch.version;
+  m_is_list_unverified = freshness == ReadFreshness::kMayBeStale;
   m_needs_latest_list = m_kind == kReferenceKind;
 }
 
+boost::asio::awaitable<void> StoreWatcher::WaitForFloor() {
+  if (m_floor->IsKnown()) {
+    co_return;
+  }
+  m_floor->NotifyWhenKnown([this]() { m_timer.cancel(); });
+  co_await Sleep(m_timing.coalesce_delay);
+}
+
 boost::asio::awaitable<void> StoreWatcher::Sleep(
     cluster_state::milliseconds delay) {
   m_timer.expires_after(delay);
--- a/src/libs/entry/store_watcher.h
+++ b/src/libs/entry/store_watcher.h
@@ -53,6 +53,7 @@
   // Returns whether the last call failed.
   bool is_store_unreachable() const { return m_failures > 0; }
 
+  cluster_state::ObjectKind kind() const { return m_kind; }
   // The kind as it appears in logs and metrics.
   std::string kind_label() const;
   // Time of the last usable response, or of the start if there was none.
@@ -61,6 +62,8 @@
  private:
   boost::asio::awaitable<void> ListOrWatch();
   boost::asio::awaitable<void> List();
+  // Waits for a list of the latest data, at most for the coalesce delay.
+  boost::asio::awaitable<void> WaitForFloor();
   boost::asio::awaitable<void> Sleep(cluster_state::milliseconds delay);
   void Apply(const StateBatch& batch, bool is_list);
   // The next call lists the latest data.
--- a/src/libs/entry/version_floor.h
+++ b/src/libs/entry/version_floor.h
@@ -2,6 +2,9 @@
 #define ENTRY_VERSION_FLOOR_H_
 
 #include <algorithm>
+#include <functional>
+#include <utility>
+#include <vector>
 
 #include "cluster_state/records.h"
 
@@ -13,6 +16,13 @@
  public:
   void Raise(const cluster_state::StoreVersion& version) {
     m_version = std::max(m_version, version);
+    for (const auto& on_known : std::exchange(m_on_known, {})) {
+      on_known();
+    }
+  }
+  // Calls `on_known` once, when the first such list arrives.
+  void NotifyWhenKnown(std::function<void()> on_known) {
+    m_on_known.push_back(std::move(on_known));
   }
   // Whether such a list has arrived.
   bool IsKnown() const { return m_version.revision > 0; }
@@ -22,6 +32,7 @@
 
  private:
   cluster_state::StoreVersion m_version;
+  std::vector<std::function<void()>> m_on_known;
 };
 
 }  // namespace poplarsail::entry
--- a/src/libs/flows/routing_table.cc
+++ b/src/libs/flows/routing_table.cc
@@ -51,8 +51,11 @@
       cluster_state.non_upstream_generation() > m_generation;
   const auto changes = cluster_state.UpstreamChangesSince(m_generation);
   m_generation = cluster_state.generation();
-  std::erase_if(m_recently_removed,
-                [now](const auto& item) { return item.second <= now; });
+  const auto is_expired = [now](const auto& item) {
+    return item.second <= now;
+  };
+  std::erase_if(m_recently_removed, is_expired);
+  std::erase_if(m_recently_removed_listeners, is_expired);
   if (has_non_upstream_change || !changes) {
     Rebuild(cluster_state, now);
     return;
@@ -68,7 +71,7 @@
 void RoutingTable::Rebuild(const cluster_state::ClusterState& cluster_state,
                            SteadyTime now) {
   if (cluster_state.configuration()) {
-    UpdateListeners(*cluster_state.configuration());
+    UpdateListeners(*cluster_state.configuration(), now);
   }
   const bool is_first = m_upstreams.empty();
   UpdateUpstreams(cluster_state, now);
@@ -101,13 +104,18 @@
 }
 
 void RoutingTable::UpdateListeners(
-    const cluster_state::Configuration& configuration) {
+    const cluster_state::Configuration& configuration,
+    SteadyTime now) {
+  for (const auto& [endpoint, listener] : m_listeners) {
+    m_recently_removed_listeners[endpoint] = now + kRemovedListenerRetention;
+  }
   m_listeners.clear();
   m_services.clear();
   for (const cluster_state::ServiceRecord& record : configuration.services) {
     m_services[record.name].record = record;
   }
   for (const cluster_state::ListenerRecord& record : configuration.listeners) {
+    m_recently_removed_listeners.erase(record.endpoint);
     Listener& listener = m_listeners[record.endpoint];
     listener.record = record;
     for (const cluster_state::ServiceShare& share : record.shares) {
--- a/src/libs/flows/routing_table.h
+++ b/src/libs/flows/routing_table.h
@@ -98,6 +98,9 @@
 // their flows are answered with a reset at once.
 inline constexpr std::chrono::seconds kRemovedUpstreamRetention{60};
 
+// How long removed listeners are remembered. Their flows end meanwhile.
+inline constexpr std::chrono::seconds kRemovedListenerRetention{120};
+
 // Finds listeners, services and upstreams. Updated from the cluster state;
 // observations of an upstream survive changes of its record.
 class RoutingTable {
@@ -113,6 +116,12 @@
   // kRemovedUpstreamRetention.
   bool IsRecentlyRemoved(const Ipv4Endpoint& listener, uint32_t tag) const;
 
+  // Whether the configuration removed the listener within
+  // kRemovedListenerRetention.
+  bool IsRecentlyRemoved(const Ipv4Endpoint& listener) const {
+    return m_recently_removed_listeners.contains(listener);
+  }
+
   const std::unordered_map<uint64_t, std::unique_ptr<Upstream>>& upstreams()
       const {
     return m_upstreams;
@@ -125,7 +134,8 @@
  private:
   void Rebuild(const cluster_state::ClusterState& cluster_state,
                SteadyTime now);
-  void UpdateListeners(const cluster_state::Configuration& configuration);
+  void UpdateListeners(const cluster_state::Configuration& configuration,
+                       SteadyTime now);
   void RankListeners();
   void UpdateUpstreams(const cluster_state::ClusterState& cluster_state,
                        SteadyTime now);
@@ -149,6 +159,7 @@
   std::unordered_map<uint32_t, Upstream*> m_by_tag;
   std::unordered_map<uint32_t, SteadyTime> m_recently_removed;
   std::unordered_map<Ipv4Endpoint, Listener> m_listeners;
+  std::unordered_map<Ipv4Endpoint, SteadyTime> m_recently_removed_listeners;
   std::unordered_map<std::string, Service> m_services;
   uint64_t m_generation = 0;
   // Some upstreams share a tag; which of them owns it depends on all of them.
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -9,10 +9,10 @@
 
 std::string_view ToString(Reason reason) {
   static constexpr std::array<std::string_view, kReasonCount> kNames = {
-      "placed",      "placed-again",      "tagged",        "no-listener",
-      "no-upstream", "upstream-gone",     "upstream-dead", "unknown-tag",
-      "no-tag",      "belief-incomplete", "scheduled",     "held",
-      "no-room"};
+      "placed",      "placed-again",      "tagged",          "no-listener",
+      "no-upstream", "upstream-gone",     "upstream-dead",   "unknown-tag",
+      "no-tag",      "belief-incomplete", "scheduled",       "held",
+      "no-room",     "state-not-current", "unknown-listener"};
   return kNames[static_cast<size_t>(reason)];
 }
 
@@ -43,8 +43,7 @@
   }
   const Listener* listener = m_routing_table.FindListener(packet.key.listener);
   if (listener == nullptr) {
-    return {packet.is_rst ? Action::kDrop : Action::kReset,
-            Reason::kNoListener};
+    return DecideWithoutListener(packet, now);
   }
   if (packet.is_syn) {
     return DecideSyn(packet, *listener, now);
@@ -53,6 +52,29 @@
                          : DecideTagged(packet, now);
 }
 
+Decision Steering::DecideWithoutListener(const FlowPacket& packet,
+                                         SteadyTime now) {
+  if (packet.is_rst) {
+    return {Action::kDrop, Reason::kNoListener};
+  }
+  if (!m_are_listeners_current) {
+    return {Action::kHold, Reason::kStateNotCurrent};
+  }
+  const bool may_be_open =
+      !packet.is_syn && packet.tag != 0 &&
+      !m_routing_table.IsRecentlyRemoved(packet.key.listener);
+  if (may_be_open) {
+    FlowRecord* flow = m_flows.FindOrCreate(packet.key);
+    const bool is_reset_due =
+        flow != nullptr &&
+        IsGracePeriodOver(flow, kUnknownListenerGracePeriod, now);
+    if (!is_reset_due) {
+      return {Action::kDrop, Reason::kUnknownListener};
+    }
+  }
+  return {Action::kReset, Reason::kNoListener};
+}
+
 Decision Steering::DecideTagged(const FlowPacket& packet, SteadyTime now) {
   const Ipv4Endpoint& listener = packet.key.listener;
   Upstream* upstream = m_routing_table.FindByTag(listener, packet.tag);
@@ -105,6 +127,15 @@
   if (flow->is_held) {
     return {Action::kDrop, Reason::kHeld};
   }
+  const bool is_reset_due =
+      IsGracePeriodOver(flow, kUnknownTagGracePeriod, now) &&
+      m_are_upstreams_current;
+  return {is_reset_due ? Action::kReset : Action::kDrop, Reason::kUnknownTag};
+}
+
+bool Steering::IsGracePeriodOver(FlowRecord* flow,
+                                 milliseconds period,
+                                 SteadyTime now) {
   flow->last_packet = now;
   if (flow->upstream_id != 0 || !flow->is_awaiting_response) {
     // Includes flows that have ended.
@@ -115,10 +146,7 @@
     flow->awaiting_response_since = now;
     flow->is_awaiting_response = true;
   }
-  const bool is_grace_period_over =
-      now - flow->awaiting_response_since >= kUnknownTagGracePeriod;
-  return {is_grace_period_over ? Action::kReset : Action::kDrop,
-          Reason::kUnknownTag};
+  return now - flow->awaiting_response_since >= period;
 }
 
 std::optional<SteadyTime> Steering::TrackPacket(const FlowPacket& packet,
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -37,13 +37,20 @@
 // Packets of such a flow are dropped for this time before the flow is reset.
 inline constexpr milliseconds kUnknownTagGracePeriod{900};
 
+// A listener that this host does not know may have been added since its last
+// watch of the configuration, up to the longest delay between two watches after
+// the other hosts. Packets of open flows are dropped for this time before such
+// a flow is reset.
+inline constexpr milliseconds kUnknownListenerGracePeriod{1'300};
+
 enum class Action : uint8_t {
   // Forward the packet to the upstream, with the tag.
   kForward,
   // Reset the flow, since it has no upstream.
   kReset,
   kDrop,
-  // Keep the packet and decide again once the cluster state is complete.
+  // Keep the packet and decide again once the cluster state is complete and
+  // current.
   kHold,
   // Keep the packet until the scheduler answers the request with `token`.
   kAwaitPlacement,
@@ -67,8 +74,13 @@
   // The scheduler refused the flow, or the service takes few new flows because
   // its upstreams refuse requests.
   kNoRoom,
+  // This host's listeners or upstreams may be older than its start and lack
+  // what the packet needs.
+  kStateNotCurrent,
+  // A flow is open on a listener that this host does not know, as yet.
+  kUnknownListener,
 };
-inline constexpr size_t kReasonCount = 13;
+inline constexpr size_t kReasonCount = 15;
 
 std::string_view ToString(Reason reason);
 
@@ -157,6 +169,13 @@
     m_are_registrations_current = are_current;
   }
 
+  // Sets whether the listeners and upstreams are known as of the start of this
+  // host or later. Until then no flow is reset for the lack of one.
+  void set_current(bool are_listeners_current, bool are_upstreams_current) {
+    m_are_listeners_current = are_listeners_current;
+    m_are_upstreams_current = are_upstreams_current;
+  }
+
   // Returns the upstream other than `checked` that responded last, or nullptr
   // if none did. It should respond to a check if this host's own link works.
   const Upstream* FindReferenceUpstream(const Upstream& checked) const;
@@ -238,8 +257,12 @@
   // new token unless it has one.
   void ReportPlacement(FlowRecord* flow, const Upstream& upstream);
   void CountRequest(const FlowKey& key, FlowRecord* flow);
+  Decision DecideWithoutListener(const FlowPacket& packet, SteadyTime now);
   Decision DecideTagged(const FlowPacket& packet, SteadyTime now);
   Decision DecideUntagged(const FlowPacket& packet, SteadyTime now);
+  // Whether the first packet of a flow whose target is unknown arrived `period`
+  // ago. Starts a record for the first one.
+  bool IsGracePeriodOver(FlowRecord* flow, milliseconds period, SteadyTime now);
   const Service* ChooseService(const FlowPacket& packet,
                                const Listener& listener) const;
   // Updates the flow's record. Returns when the response to the packet is
@@ -294,6 +317,8 @@
   bool m_has_complete_state = false;
   int64_t m_configuration_version = 0;
   bool m_are_registrations_current = true;
+  bool m_are_listeners_current = true;
+  bool m_are_upstreams_current = true;
   std::chrono::milliseconds m_flow_idle_timeout{kDefaultFlowIdleTimeout};
 };
 
--- a/src/libs/flows/steering_placement.cc
+++ b/src/libs/flows/steering_placement.cc
@@ -61,6 +61,9 @@
       chosen = previous;
     }
   }
+  if (chosen == nullptr && !m_are_upstreams_current) {
+    return {Action::kHold, Reason::kStateNotCurrent};
+  }
   if (chosen == nullptr) {
     return {Action::kReset, Reason::kNoUpstream};
   }
--- a/tests/auto/entry/tst_store_watcher.cc
+++ b/tests/auto/entry/tst_store_watcher.cc
@@ -309,6 +309,32 @@
   CHECK(fixture.cluster_state.upstreams().at("2").is_unregistered);
 }
 
+// Guards against a host that waits for the coalesce delay before it finds out
+// that its first list is stale.
+TEST_CASE("A stale list is found out as soon as the reference list arrives") {
+  WatcherFixture fixture;
+  boost::asio::steady_timer reference(fixture.context);
+  std::chrono::steady_clock::time_point reference_time;
+  fixture.store.Then([&](uint64_t) {
+    reference.expires_after(std::chrono::milliseconds(20));
+    reference.async_wait([&](const boost::system::error_code&) {
+      reference_time = std::chrono::steady_clock::now();
+      fixture.floor.Raise({0, 9});
+    });
+    return StateBatch{{Upstream(1, 5)}, {0, 7}};
+  });
+  std::chrono::steady_clock::time_point second_list;
+  fixture.store.Then([&](uint64_t) {
+    CHECK(fixture.store.lists == 2);
+    second_list = std::chrono::steady_clock::now();
+    return StateBatch{{Upstream(1, 5)}, {0, 9}};
+  });
+  fixture.RunScript();
+  const auto coalesce_delay =
+      ComputeWatchTiming({}, ObjectKind::kUpstreams).coalesce_delay;
+  CHECK(second_list - reference_time < coalesce_delay / 2);
+}
+
 TEST_CASE("After compaction the latest data is listed") {
   // A stale list could lead to a revision whose history is gone again.
   WatcherFixture fixture;
