Send a SYN to the same upstream while that is alive

Cause: an upstream's answer to a SYN was lost, and the host sent the SYN to a second upstream after 50 ms, or with the client's copy after 200 ms. The first repeats its answer for seconds, and the client's packets carry the tag that came last. A host without a record of the flow follows it to the upstream that resets the flow. Ruled out: the planned stop itself; flows without a second placement are not reset.

Change: after half of the SYN's timeout the host connects to an upstream that has not responded since, on any flow. At the timeout the SYN goes to the same upstream again if that is alive, else to another one, as early as before. The client's first copy does the same. Hosts tell those of their failure domain where a SYN was sent again, so that a copy which arrives there goes to the same upstream.

Why it works: with one upstream that holds the SYN, every tag that the client can get leads to the upstream of the flow. A dead one is left as fast as before, since the connection shows it by then.

--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -25,6 +25,7 @@
 #include "entry/peer_exchange.h"
 #include "entry/peer_probes.h"
 #include "entry/peer_socket.h"
+#include "entry/placement_exchange.h"
 #include "entry/retry_gate.h"
 #include "entry/state_currency.h"
 #include "entry/store_watcher.h"
@@ -81,6 +82,12 @@
               steering.AddOverdueRequests(counts,
                                           std::chrono::steady_clock::now());
             }),
+        placement_exchange(
+            &peer_socket,
+            [this](const flows::FlowKey& key, uint64_t upstream_id) {
+              steering.RecordPeerPlacement(key, upstream_id,
+                                           std::chrono::steady_clock::now());
+            }),
         scheduling(context,
                    &peer_socket,
                    &packets,
@@ -116,6 +123,7 @@
   FailureReportChannel failure_reports;
   PeerProbes peer_probes;
   OverdueExchange overdue_exchange;
+  PlacementExchange placement_exchange;
   FlowScheduling scheduling;
   std::vector<std::unique_ptr<StoreWatcher>> store_watchers;
   std::unique_ptr<PeerExchange> peer_exchange;
@@ -189,6 +197,7 @@
     m_components->failure_reports.set_remote_peers(fleet.remote_peers);
     m_components->peer_probes.SetPeers(fleet.local_peers, fleet.remote_peers);
     m_components->overdue_exchange.set_peers(fleet.local_peers);
+    m_components->placement_exchange.set_peers(fleet.local_peers);
     m_components->scheduling.SetLocalCandidates(MakeCandidates(fleet));
     m_components->scheduling.SetRemotePeers(fleet.remote_peers);
   };
@@ -198,6 +207,10 @@
   m_components->packets.set_on_upstream_doubt([this](uint64_t upstream_id) {
     m_components->peer_probes.Ask(upstream_id);
   });
+  m_components->packets.set_on_syn_resent(
+      [this](const flows::FlowKey& key, uint64_t upstream_id) {
+        m_components->placement_exchange.Broadcast(key, upstream_id);
+      });
   m_components->peer_socket.Start();
   m_components->peer_exchange = std::make_unique<PeerExchange>(
       m_context, &m_components->cluster_state, std::move(options));
--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -186,10 +186,21 @@
     if (decision.check != nullptr) {
       StartCheck(*decision.check);
     }
+    if (decision.probe != nullptr) {
+      ProbeForTimeout(*decision.probe);
+    }
+    if (decision.next_deadline) {
+      m_pending_responses.Add(due->packet, due->datagram,
+                              *decision.next_deadline);
+    }
     if (decision.resend) {
+      ++m_counts.by_reason[static_cast<size_t>(decision.resend->reason)];
       LogDecision(due->packet, *decision.resend, &m_refusal_log);
       Execute(due->packet, *decision.resend, due->datagram);
       Flush();
+      if (m_on_syn_resent) {
+        m_on_syn_resent(due->packet.key, decision.resend->upstream->record.id);
+      }
     }
   }
 }
@@ -209,9 +220,7 @@
   ++m_counts.by_reason[static_cast<size_t>(decision.reason)];
   LogDecision(*packet, decision, &m_refusal_log);
   Execute(*packet, decision, datagram);
-  if (decision.response_deadline) {
-    m_pending_responses.Add(*packet, datagram, *decision.response_deadline);
-  }
+  AwaitResponse(*packet, decision, datagram);
   if (decision.action == flows::Action::kAwaitPlacement) {
     m_held_syns[decision.token] = {
         *packet, now + kHeldSynTimeout, {datagram.begin(), datagram.end()}};
@@ -295,12 +304,21 @@
   Execute(syn.packet, decision, syn.datagram);
   Flush();
   if (decision.response_deadline) {
-    m_pending_responses.Add(syn.packet, syn.datagram,
-                            *decision.response_deadline);
+    AwaitResponse(syn.packet, decision, syn.datagram);
     ScheduleResponseTimeouts();
   }
 }
 
+void PacketLoop::AwaitResponse(const flows::FlowPacket& packet,
+                               const flows::Decision& decision,
+                               std::span<const uint8_t> datagram) {
+  if (decision.response_deadline) {
+    m_pending_responses.Add(
+        packet, datagram,
+        decision.probe_time.value_or(*decision.response_deadline));
+  }
+}
+
 void PacketLoop::CountReset(const flows::FlowPacket& packet,
                             flows::Reason reason) {
   if (const auto cause = LossCauseOf(reason)) {
--- a/src/libs/entry/packet_loop.h
+++ b/src/libs/entry/packet_loop.h
@@ -77,6 +77,13 @@
     m_on_upstream_doubt = std::move(on_upstream_doubt);
   }
 
+  // Sets the callback for flows whose SYN had no response in time and was sent
+  // again, to the upstream with the given id.
+  void set_on_syn_resent(
+      std::function<void(const flows::FlowKey&, uint64_t)> on_syn_resent) {
+    m_on_syn_resent = std::move(on_syn_resent);
+  }
+
   // Call at least four times per second, whether or not packets arrive: detects
   // stalls of this host.
   void Poll();
@@ -135,9 +142,15 @@
   void Execute(const flows::FlowPacket& packet,
                const flows::Decision& decision,
                std::span<const uint8_t> datagram);
+  // Waits for the response to a packet that was forwarded.
+  void AwaitResponse(const flows::FlowPacket& packet,
+                     const flows::Decision& decision,
+                     std::span<const uint8_t> datagram);
   void ScheduleResponseTimeouts();
   void HandleResponseTimeouts();
   void StartCheck(const flows::Upstream& upstream);
+  // Connects to the upstream to find out whether it is alive.
+  void ProbeForTimeout(const flows::Upstream& upstream);
   void OnCheckResult(uint64_t upstream_id, CheckResult result);
   void SendReset(const flows::FlowPacket& packet);
   void CountReset(const flows::FlowPacket& packet, flows::Reason reason);
@@ -165,6 +178,7 @@
   flows::SteadyTime m_last_packet;
   std::function<void(uint64_t)> m_on_upstream_failure;
   std::function<void(uint64_t)> m_on_upstream_doubt;
+  std::function<void(const flows::FlowKey&, uint64_t)> m_on_syn_resent;
 };
 
 }  // namespace poplarsail::entry
--- a/src/libs/entry/packet_loop_checks.cc
+++ b/src/libs/entry/packet_loop_checks.cc
@@ -37,6 +37,18 @@
                   m_steering->ConnectTimeout(upstream, reference));
 }
 
+void PacketLoop::ProbeForTimeout(const flows::Upstream& upstream) {
+  const uint64_t upstream_id = upstream.record.id;
+  m_checker.Probe(upstream.record.endpoint,
+                  m_steering->ConnectTimeout(upstream, nullptr),
+                  [this, upstream_id](bool is_connected) {
+                    if (is_connected) {
+                      m_steering->RecordConnection(
+                          upstream_id, std::chrono::steady_clock::now());
+                    }
+                  });
+}
+
 void PacketLoop::RunDueChecks() {
   const auto now = std::chrono::steady_clock::now();
   for (const flows::Upstream* upstream : m_steering->StartDueChecks(now)) {
--- a/src/libs/flows/flow_table.h
+++ b/src/libs/flows/flow_table.h
@@ -29,6 +29,8 @@
   // The client has ended the flow. The record is kept for a while, so that the
   // last acknowledgements of the flow do not count as a new one.
   bool is_closed = false;
+  // The SYN was sent to the same upstream again.
+  bool is_syn_resent = false;
   // The SYN waits for the scheduler's answer.
   bool is_held = false;
   // The first SYN passed this host.
--- a/src/libs/flows/flows.h
+++ b/src/libs/flows/flows.h
@@ -10,6 +10,7 @@
 #include "flows/local_first_placement.h"
 #include "flows/loss_counts.h"
 #include "flows/overdue_monitor.h"
+#include "flows/peer_placements.h"
 #include "flows/pending_responses.h"
 #include "flows/placement.h"
 #include "flows/response_timeouts.h"
--- a/src/libs/flows/liveness.h
+++ b/src/libs/flows/liveness.h
@@ -22,6 +22,10 @@
 // time.
 inline constexpr milliseconds kTrialDelay{1'500};
 
+// After as many unanswered SYNs in a row, copies of a SYN go to other upstreams
+// although this one is alive. It may be at its limit of flows.
+inline constexpr uint32_t kMaxUnansweredSyns = 3;
+
 enum class Health : uint8_t {
   kHealthy,
   // New flows avoid it.
@@ -61,6 +65,12 @@
   // are overloaded.
   void RecordSynTimeout(SteadyTime now);
 
+  // A SYN had no response in time although the upstream is alive: a packet was
+  // lost, or the upstream takes no more flows.
+  void RecordUnansweredSyn() { ++m_unanswered_syns; }
+  // The upstream accepted a flow.
+  void RecordHandshake() { m_unanswered_syns = 0; }
+
   // A packet that was forwarded at `sent` had no response until `now`.
   void RecordResponseTimeout(SteadyTime sent, SteadyTime now);
 
@@ -87,6 +97,9 @@
   bool is_refusing() const { return m_is_refusing; }
   // Whether a flow of this host timed out since the last response.
   bool has_timeouts() const { return m_timeouts > 0; }
+  // Whether a SYN is worth sending again. Lost packets alone do not explain
+  // kMaxUnansweredSyns in a row.
+  bool answers_syns() const { return m_unanswered_syns < kMaxUnansweredSyns; }
   SteadyTime last_response() const { return m_last_response; }
 
  private:
@@ -101,6 +114,9 @@
   uint32_t m_timeouts = 0;
   // SYNs without a response since the last response on a flow.
   uint32_t m_syn_timeouts = 0;
+  // SYNs of different flows without a response since the last handshake, while
+  // the upstream was alive.
+  uint32_t m_unanswered_syns = 0;
 };
 
 }  // namespace poplarsail::flows
--- a/src/libs/flows/routing_table.h
+++ b/src/libs/flows/routing_table.h
@@ -55,6 +55,8 @@
   bool is_check_peer_initiated = false;
   // Earliest time of the next check.
   SteadyTime next_check;
+  // Earliest time of the next connection that shows whether it is alive.
+  SteadyTime next_probe;
   // Earliest time of the next new flow during a cold start.
   SteadyTime next_cold_flow;
 
--- a/src/libs/flows/steering.cc
+++ b/src/libs/flows/steering.cc
@@ -9,10 +9,11 @@
 
 std::string_view ToString(Reason reason) {
   static constexpr std::array<std::string_view, kReasonCount> kNames = {
-      "placed",      "placed-again",      "tagged",          "no-listener",
-      "no-upstream", "upstream-gone",     "upstream-dead",   "unknown-tag",
-      "no-tag",      "belief-incomplete", "scheduled",       "held",
-      "no-room",     "state-not-current", "unknown-listener"};
+      "placed",        "placed-again",      "tagged",           "no-listener",
+      "no-upstream",   "upstream-gone",     "upstream-dead",    "unknown-tag",
+      "no-tag",        "belief-incomplete", "scheduled",        "held",
+      "no-room",       "state-not-current", "unknown-listener", "sent-again",
+      "placed-by-peer"};
   return kNames[static_cast<size_t>(reason)];
 }
 
@@ -296,6 +297,7 @@
     upstream->response_ms +=
         kResponseTimeWeight * (response.count() - upstream->response_ms);
   } else {
+    upstream->liveness.RecordHandshake();
     m_handshake_times.Add(time);
     m_response_timeouts.RecordHandshake(upstream->record.failure_domain, time);
   }
@@ -339,6 +341,7 @@
 }
 
 void Steering::EvictIdleFlows(SteadyTime now) {
+  m_peer_placements.RemoveExpired(now);
   m_flows.EvictIdle(now - m_flow_idle_timeout, now - kClosedFlowRetention,
                     [this](const FlowKey& key, FlowRecord* flow) {
                       RecordEndOfFlow(key, *flow);
--- a/src/libs/flows/steering.h
+++ b/src/libs/flows/steering.h
@@ -16,6 +16,7 @@
 #include "flows/flow_table.h"
 #include "flows/loss_counts.h"
 #include "flows/overdue_monitor.h"
+#include "flows/peer_placements.h"
 #include "flows/placement.h"
 #include "flows/response_timeouts.h"
 #include "flows/routing_table.h"
@@ -79,8 +80,12 @@
   kStateNotCurrent,
   // A flow is open on a listener that this host does not know, as yet.
   kUnknownListener,
+  // The SYN had no response, but its upstream is alive and may still answer.
+  kSentAgain,
+  // Copy of a SYN that another host has placed.
+  kPlacedByPeer,
 };
-inline constexpr size_t kReasonCount = 15;
+inline constexpr size_t kReasonCount = 17;
 
 std::string_view ToString(Reason reason);
 
@@ -91,6 +96,9 @@
   uint32_t tag = 0;
   // When the response to the packet is overdue, or nullopt if none is expected.
   std::optional<SteadyTime> response_deadline;
+  // For a SYN, when to find out whether the upstream is alive if there is no
+  // response by then.
+  std::optional<SteadyTime> probe_time;
   // Set for kAwaitPlacement.
   uint32_t token = 0;
 };
@@ -101,6 +109,11 @@
   std::optional<Decision> resend;
   // The upstream to check, or nullptr.
   const Upstream* check = nullptr;
+  // The upstream to connect to, or nullptr. Report the connection by
+  // RecordConnection().
+  const Upstream* probe = nullptr;
+  // When to decide again, or nullopt.
+  std::optional<SteadyTime> next_deadline;
 };
 
 // What to do after the check of an upstream.
@@ -118,6 +131,9 @@
 // Minimum interval between two checks of an upstream, and after a refused one.
 inline constexpr milliseconds kCheckInterval{1'000};
 inline constexpr milliseconds kRefusedCheckInterval{250};
+// Minimum interval between two connections that show whether an upstream is
+// alive.
+inline constexpr milliseconds kProbeInterval{25};
 // Weight of a new sample in the moving average of response times.
 inline constexpr double kResponseTimeWeight = 0.15;
 
@@ -152,10 +168,21 @@
                           Reason reason,
                           SteadyTime now);
 
-  // Call when the response to `packet` is overdue.
+  // Call at the probe time of `packet` and when its response is overdue.
   ResponseTimeoutDecision DecideOnTimeout(const FlowPacket& packet,
                                           SteadyTime now);
 
+  // The upstream accepted a connection.
+  void RecordConnection(uint64_t upstream_id, SteadyTime now);
+
+  // Another host has placed a flow whose SYN has had no response so far. If a
+  // copy arrives here, it goes to the same upstream.
+  void RecordPeerPlacement(const FlowKey& key,
+                           uint64_t upstream_id,
+                           SteadyTime now) {
+    m_peer_placements.Record(key, upstream_id, now);
+  }
+
   // Applies the result of a check. If the upstream has failed, its idle flows
   // are reset as well: clients keep flows idle, and the next request on one
   // would be lost. After a reset the client opens a new flow for it.
@@ -244,6 +271,20 @@
                       Upstream* upstream,
                       Reason reason,
                       SteadyTime now);
+  // Returns the upstream that the flow's SYN was sent to if it may still
+  // answer, else nullptr. A SYN at two upstreams could leave the client with
+  // the tag of the one that does not hold the flow.
+  Upstream* FindLiveUpstream(const FlowPacket& syn,
+                             const Listener& listener,
+                             const FlowRecord& flow);
+  // Returns the upstream that another host chose for the SYN, or nullptr.
+  Upstream* FindPeerPlacement(const FlowPacket& syn,
+                              const Listener& listener,
+                              SteadyTime now);
+  Decision ResendSyn(const FlowPacket& syn,
+                     FlowRecord* flow,
+                     Upstream* upstream,
+                     SteadyTime now);
   // Returns the record if its SYN waits for the answer to `token`.
   FlowRecord* FindHeldFlow(const FlowPacket& syn, uint32_t token);
   bool IsScheduled(const std::string& service) const {
@@ -278,6 +319,18 @@
                     SteadyTime now);
   // Resets a new flow and remembers it as closed.
   Decision RefuseFlow(FlowRecord* flow, Reason reason, SteadyTime now);
+  // Decides on a SYN that had no response in time.
+  ResponseTimeoutDecision DecideOnSynTimeout(const FlowPacket& syn,
+                                             FlowRecord* flow,
+                                             Upstream* upstream,
+                                             SteadyTime now);
+  ResponseTimeoutDecision ProbeUpstream(const FlowRecord& flow,
+                                        Upstream* upstream,
+                                        SteadyTime now);
+  // Places the flow at an upstream other than the one that did not answer.
+  std::optional<Decision> PlaceAgain(const FlowPacket& syn,
+                                     FlowRecord* flow,
+                                     SteadyTime now);
   Upstream* FindPinnedUpstream(const FlowPacket& packet,
                                const FlowRecord* flow,
                                Upstream* tagged);
@@ -311,6 +364,7 @@
   FlowScheduler* m_scheduler = nullptr;
   RoutingTable m_routing_table;
   FlowTable m_flows;
+  PeerPlacements m_peer_placements;
   ResponseTimeouts m_response_timeouts;
   telemetry::LatencyHistogram m_handshake_times;
   telemetry::LatencyHistogram m_response_times;
--- a/src/libs/flows/steering_checks.cc
+++ b/src/libs/flows/steering_checks.cc
@@ -8,42 +8,89 @@
 ResponseTimeoutDecision Steering::DecideOnTimeout(const FlowPacket& packet,
                                                   SteadyTime now) {
   FlowRecord* flow = m_flows.Find(packet.key);
-  // A later packet of the flow has a later deadline and an entry of its own.
   if (flow == nullptr || !flow->is_awaiting_response ||
-      flow->is_established == packet.is_syn || now < flow->response_deadline) {
+      flow->is_established == packet.is_syn) {
     return {};
   }
   Upstream* upstream = m_routing_table.FindUpstream(flow->upstream_id);
   if (upstream == nullptr) {
     return {};
   }
+  if (now < flow->response_deadline) {
+    // A later request of the flow has a later deadline and an entry of its own.
+    return packet.is_syn ? ProbeUpstream(*flow, upstream, now)
+                         : ResponseTimeoutDecision{};
+  }
+  if (packet.is_syn) {
+    return DecideOnSynTimeout(packet, flow, upstream, now);
+  }
   // A scheduler learns the speeds of its upstreams by itself.
-  if (!packet.is_syn && !IsScheduled(upstream->record.service)) {
+  if (!IsScheduled(upstream->record.service)) {
     m_overdue_monitor.RecordOverdue(upstream, now);
   }
-  if (upstream->liveness.last_response() > flow->awaiting_response_since) {
-    return {};
+  ResponseTimeoutDecision decision;
+  const bool has_responded =
+      upstream->liveness.last_response() > flow->awaiting_response_since;
+  if (!has_responded && StartCheck(upstream, now)) {
+    decision.check = upstream;
   }
-  if (packet.is_syn) {
-    upstream->liveness.RecordSynTimeout(now);
+  return decision;
+}
+
+ResponseTimeoutDecision Steering::ProbeUpstream(const FlowRecord& flow,
+                                                Upstream* upstream,
+                                                SteadyTime now) {
+  ResponseTimeoutDecision decision;
+  decision.next_deadline = flow.response_deadline;
+  const bool has_responded =
+      upstream->liveness.last_response() > flow.awaiting_response_since;
+  if (!has_responded && now >= upstream->next_probe) {
+    upstream->next_probe = now + kProbeInterval;
+    decision.probe = upstream;
   }
+  return decision;
+}
+
+ResponseTimeoutDecision Steering::DecideOnSynTimeout(const FlowPacket& syn,
+                                                     FlowRecord* flow,
+                                                     Upstream* upstream,
+                                                     SteadyTime now) {
   ResponseTimeoutDecision decision;
-  decision.check = StartCheck(upstream, now) ? upstream : nullptr;
-  const Listener* listener = m_routing_table.FindListener(packet.key.listener);
-  const bool may_resend =
-      packet.is_syn && listener != nullptr && flow->previous_upstream_id == 0;
-  if (!may_resend) {
+  if (upstream->liveness.last_response() > flow->awaiting_response_since) {
+    const Listener* listener = m_routing_table.FindListener(syn.key.listener);
+    if (flow->is_syn_resent || listener == nullptr) {
+      return decision;
+    }
+    upstream->liveness.RecordUnansweredSyn();
+    if (Upstream* live = FindLiveUpstream(syn, *listener, *flow)) {
+      decision.resend = ResendSyn(syn, flow, live, now);
+    }
     return decision;
   }
+  upstream->liveness.RecordSynTimeout(now);
+  decision.check = StartCheck(upstream, now) ? upstream : nullptr;
+  if (flow->previous_upstream_id == 0) {
+    decision.resend = PlaceAgain(syn, flow, now);
+  }
+  return decision;
+}
+
+std::optional<Decision> Steering::PlaceAgain(const FlowPacket& syn,
+                                             FlowRecord* flow,
+                                             SteadyTime now) {
+  const Listener* listener = m_routing_table.FindListener(syn.key.listener);
+  if (listener == nullptr) {
+    return std::nullopt;
+  }
   const PlacementRequest request{listener,
-                                 ChooseService(packet, *listener),
+                                 ChooseService(syn, *listener),
                                  {flow->upstream_id},
                                  now,
                                  !m_are_registrations_current};
   Upstream* other =
       request.service == nullptr ? nullptr : m_placement->Choose(request);
   if (other == nullptr) {
-    return decision;
+    return std::nullopt;
   }
   ReleasePlace(flow, scheduling::Outcome::kFailed);
   flow->previous_upstream_id = flow->upstream_id;
@@ -54,9 +101,14 @@
   AwaitResponse(flow, other,
                 m_response_timeouts.SynTimeout(other->record.failure_domain),
                 now);
-  decision.resend = Decision{Action::kForward, Reason::kPlacedAgain, other,
-                             MakeTag(packet.key.listener, other->tag_base)};
-  return decision;
+  return Decision{Action::kForward, Reason::kPlacedAgain, other,
+                  MakeTag(syn.key.listener, other->tag_base)};
+}
+
+void Steering::RecordConnection(uint64_t upstream_id, SteadyTime now) {
+  if (Upstream* upstream = m_routing_table.FindUpstream(upstream_id)) {
+    upstream->liveness.RecordConnection(now);
+  }
 }
 
 void Steering::AddOverdueRequests(const std::vector<OverdueCount>& counts,
--- a/src/libs/flows/steering_placement.cc
+++ b/src/libs/flows/steering_placement.cc
@@ -13,6 +13,9 @@
 constexpr std::array<milliseconds, 3> kRetransmitAges = {
     milliseconds(0), milliseconds(200), milliseconds(600)};
 
+// The client's last copy of a SYN goes to another upstream in any case.
+constexpr uint32_t kLastCopy = 2;
+
 // Whether new flows of the listener may go to the upstream's service.
 bool SendsFlowsTo(const Listener& listener, const Upstream& upstream) {
   const auto& shares = listener.record.shares;
@@ -45,8 +48,16 @@
                            !m_are_registrations_current};
   if (is_retransmit) {
     RecordFlowTimeout(flow, now);
+    if (Upstream* live = FindLiveUpstream(packet, listener, *flow)) {
+      return ResendSyn(packet, flow, live, now);
+    }
     request.excluded_upstream_ids = {flow->upstream_id,
                                      flow->previous_upstream_id};
+  } else if (Upstream* placed = FindPeerPlacement(packet, listener, now)) {
+    if (flow != nullptr) {
+      StartRecord(flow);
+    }
+    return ForwardSyn(packet, flow, placed, Reason::kPlacedByPeer, now);
   } else if (flow != nullptr && request.service != nullptr &&
              IsScheduled(request.service->record.name)) {
     return RequestPlacement(packet, *request.service, flow, now);
@@ -142,6 +153,49 @@
   Decision decision{Action::kForward, reason, upstream,
                     MakeTag(packet.key.listener, upstream->tag_base)};
   decision.response_deadline = now + syn_timeout;
+  decision.probe_time = now + syn_timeout / 2;
+  return decision;
+}
+
+Upstream* Steering::FindLiveUpstream(const FlowPacket& syn,
+                                     const Listener& listener,
+                                     const FlowRecord& flow) {
+  Upstream* upstream = m_routing_table.FindUpstream(flow.upstream_id);
+  const bool may_answer =
+      upstream != nullptr && syn.retransmit_count < kLastCopy &&
+      SendsFlowsTo(listener, *upstream) && upstream->AcceptsNewFlows() &&
+      upstream->liveness.last_response() > flow.awaiting_response_since &&
+      upstream->liveness.answers_syns();
+  return may_answer ? upstream : nullptr;
+}
+
+Upstream* Steering::FindPeerPlacement(const FlowPacket& syn,
+                                      const Listener& listener,
+                                      SteadyTime now) {
+  if (syn.retransmit_count == 0 || syn.retransmit_count >= kLastCopy) {
+    return nullptr;
+  }
+  const auto upstream_id = m_peer_placements.Find(syn.key, now);
+  Upstream* upstream =
+      upstream_id ? m_routing_table.FindUpstream(*upstream_id) : nullptr;
+  const bool is_usable =
+      upstream != nullptr && SendsFlowsTo(listener, *upstream) &&
+      upstream->AcceptsNewFlows() && upstream->liveness.AllowsAttempt(now);
+  return is_usable ? upstream : nullptr;
+}
+
+Decision Steering::ResendSyn(const FlowPacket& syn,
+                             FlowRecord* flow,
+                             Upstream* upstream,
+                             SteadyTime now) {
+  const milliseconds syn_timeout =
+      m_response_timeouts.SynTimeout(upstream->record.failure_domain);
+  flow->is_syn_resent = true;
+  flow->last_packet = now;
+  flow->response_deadline = now + syn_timeout;
+  Decision decision{Action::kForward, Reason::kSentAgain, upstream,
+                    MakeTag(syn.key.listener, upstream->tag_base)};
+  decision.response_deadline = flow->response_deadline;
   return decision;
 }
 
