Soak: odd entries, old lists, lost answers to SYNs, planned work only

Cause: neither the soak nor the stand-ins could show the four findings of the review. The store kept unreadable entries out and served no old lists, upstreams lost and repeated no answers, resets by upstreams were not checked, and a host was excused for its own planned restart.

--- a/soak/client.cc
+++ b/soak/client.cc
@@ -142,8 +142,12 @@
   const FlowPointer flow = found->second;
   if (packet.rst) {
     ++m_counts.resets;
-    if (flow->is_open && packet.checksum == 0) {
-      m_hooks.on_flow_reset(flow->id, flow->last_daemon);
+    if (flow->is_open) {
+      const bool is_from_daemon = packet.checksum == 0;
+      m_hooks.on_flow_reset(flow->id, flow->last_daemon,
+                            is_from_daemon ? model::Endpoint{}
+                                           : model::Endpoint{m_sender.address(),
+                                                             m_sender.port()});
     }
     return CloseFlow(flow, false, false);
   }
--- a/soak/client.h
+++ b/soak/client.h
@@ -32,9 +32,11 @@
   std::function<model::Endpoint(const FlowId&)> pick_daemon;
   // Returns a listener for a new flow and the service behind it.
   std::function<std::pair<model::Ipv4Endpoint, std::string>()> pick_listener;
-  // Called when a daemon reset an open flow; `daemon` got the client's last
-  // packet.
-  std::function<void(const FlowId&, const model::Endpoint& daemon)>
+  // Called when an open flow was reset. `daemon` got the client's last packet;
+  // `upstream` sent the reset, or is empty if a daemon did.
+  std::function<void(const FlowId&,
+                     const model::Endpoint& daemon,
+                     const model::Endpoint& upstream)>
       on_flow_reset;
 };
 
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -28,6 +28,7 @@
   options.network = arguments["network"].as<int>();
   options.hosts_per_domain = arguments["hosts"].as<int>();
   options.fault_time = std::chrono::seconds(arguments["seconds"].as<int>());
+  options.is_planned_only = arguments.count("planned") > 0;
   options.injected_defect = arguments["plant"].as<std::string>();
   std::filesystem::create_directories(options.directory);
   const ScenarioResult result = Scenario(options).Run();
@@ -62,6 +63,9 @@
       cxxopts::value<int>()->default_value("12"))(
       "hosts", "Entry hosts in each failure domain",
       cxxopts::value<int>()->default_value("2"))(
+      "planned",
+      "Only planned work: restarts and changes of what is "
+      "configured")(
       "logs", "Directory for settings and logs",
       cxxopts::value<std::string>()->default_value("/tmp/poplarsail-soak"))(
       "network", "Second octet of all loopback addresses",
--- a/soak/scenario.cc
+++ b/soak/scenario.cc
@@ -22,9 +22,6 @@
 using std::chrono::milliseconds;
 
 constexpr uint16_t kPacketPort = 18'172;
-// Distinguish the random numbers of these faults from those of others.
-constexpr uint64_t kRestoreSeed = 0x726573746f7265;
-constexpr uint64_t kSilenceSeed = 0x73696c656e6365;
 constexpr std::array<const char*, 3> kDomains = {"regina", "saskatoon",
                                                  "brandon"};
 // A host is checked once no fault has affected it for this long.
@@ -51,6 +48,7 @@
 }
 
 ScenarioResult Scenario::Run() {
+  DrawConditions();
   SetUpStore();
   SetUpHosts();
   PollHosts();
@@ -78,6 +76,7 @@
       &m_context,
       model::Endpoint{boost::asio::ip::make_address(Address(4, 1)), 18'000});
   m_store->set_era(1);
+  m_store->set_list_age(m_list_age);
   m_listeners = {
       {*model::ParseIpv4Endpoint("198.18.0.1:8443"), "tally", std::nullopt},
       {*model::ParseIpv4Endpoint("198.18.0.2:8443"), "archive", std::nullopt}};
@@ -119,13 +118,20 @@
   hooks.pick_daemon = [this](const FlowId& flow) { return Route(flow); };
   hooks.pick_listener = [this]() {
     // For one flow in 16, also the listeners that are added and removed.
+    // In planned runs half of them use the listener that was added last.
+    const Listener& last = m_listeners.back();
+    if (m_options.is_planned_only && !last.removed_since &&
+        m_random() % 2 == 0) {
+      return std::make_pair(last.endpoint, last.service);
+    }
     const size_t choices = m_random() % 16 == 0 ? m_listeners.size() : 2;
     const Listener& listener = m_listeners[m_random() % choices];
     return std::make_pair(listener.endpoint, listener.service);
   };
   hooks.on_flow_reset = [this](const FlowId& flow,
-                               const model::Endpoint& daemon) {
-    CheckReset(flow, daemon);
+                               const model::Endpoint& daemon,
+                               const model::Endpoint& upstream) {
+    CheckReset(flow, daemon, upstream);
   };
   for (int i = 1; i <= 4; ++i) {
     m_clients.push_back(std::make_unique<Client>(&m_context, Address(2, i),
@@ -160,6 +166,7 @@
                          : *model::ParseIpv4Endpoint(fmt::format(
                                "{}:{}", Address(3, 1), m_next_upstream_port++));
   options.client_port = kPacketPort;
+  options.handshake_loss = m_handshake_loss;
   UpstreamHooks hooks;
   hooks.is_reachable_from = [this, domain](const std::string& daemon) {
     const auto partition = m_partitions.find(domain);
@@ -308,69 +315,6 @@
   }
 }
 
-void Scenario::InjectFaults() {
-  static constexpr std::array<Fault, 13> kFaults = {
-      &Scenario::KillHost,
-      &Scenario::PauseHost,
-      &Scenario::RestartHost,
-      &Scenario::ReloadHost,
-      &Scenario::InjectStoreConnectionFault,
-      &Scenario::InjectStoreFault,
-      &Scenario::PartitionHostFromDomain,
-      &Scenario::CrashUpstream,
-      &Scenario::DrainUpstream,
-      &Scenario::ReuseAddress,
-      &Scenario::ScaleUpService,
-      &Scenario::EvacuateDomain,
-      &Scenario::AddOrRemoveListener};
-  if (InjectDefectiveChange()) {
-    return;
-  }
-  // The schedule, with a seed for each fault that selects the affected host or
-  // upstream, is drawn before any fault runs, so that a run's seed reproduces
-  // it.
-  milliseconds at{0};
-  while (at < m_options.fault_time) {
-    const Fault fault = kFaults[m_random() % kFaults.size()];
-    const uint64_t fault_seed = m_random();
-    ScheduleFault(at, fault, fault_seed);
-    at += RandomDuration(150, 900);
-  }
-  ScheduleRestores();
-  ScheduleStoreSilences();
-}
-
-void Scenario::ScheduleFault(milliseconds delay, Fault fault, uint64_t seed) {
-  RunAfter(delay, [this, fault, seed]() {
-    std::mt19937_64 saved_random =
-        std::exchange(m_random, std::mt19937_64(seed));
-    ++m_fault_count;
-    (this->*fault)();
-    m_random = saved_random;
-  });
-}
-
-void Scenario::ScheduleRestores() {
-  // Drawn apart from the other faults, whose schedules earlier seeds reproduce.
-  std::mt19937_64 random(m_options.seed ^ kRestoreSeed);
-  SnapshotStore();
-  for (uint64_t left = random() % 3; left > 0; --left) {
-    const milliseconds at(random() % m_options.fault_time.count());
-    RunAfter(at, [this]() {
-      ++m_fault_count;
-      RestoreStore();
-    });
-  }
-}
-
-void Scenario::ScheduleStoreSilences() {
-  std::mt19937_64 random(m_options.seed ^ kSilenceSeed);
-  for (uint64_t left = 1 + random() % 2; left > 0; --left) {
-    const milliseconds at(random() % m_options.fault_time.count());
-    ScheduleFault(at, &Scenario::SilenceStoreBetweenChanges, random());
-  }
-}
-
 bool Scenario::InjectDefectiveChange() {
   // These defects are detected only on hosts that no other fault affects.
   if (IsDefectInjected(Invariant::kDrainHonored)) {
--- a/soak/scenario.h
+++ b/soak/scenario.h
@@ -39,6 +39,8 @@
   int network = 10;
   int hosts_per_domain = 2;
   std::chrono::milliseconds fault_time{12'000};
+  // Only planned work, under which a host is not excused for its own restart.
+  bool is_planned_only = false;
   // Name of the invariant to violate on purpose, to verify that its check
   // fails; empty for none.
   std::string injected_defect;
@@ -88,6 +90,12 @@
                      uint64_t seed);
   void ScheduleRestores();
   void ScheduleStoreSilences();
+  // Draws how old lists of the store are, and how many responses to SYNs are
+  // lost.
+  void DrawConditions();
+  // Another writer leaves entries among those of the upstreams.
+  void ScheduleOddEntries();
+  void WriteOddEntry();
   // Copies the store now and at intervals.
   void SnapshotStore();
   // Writes again what the store lost in a restore, each writer at its own time
@@ -101,6 +109,8 @@
   void PollReadiness(Host* host);
   void Supervise(Host* host);
   void InjectFaults();
+  // Restarts hosts and changes what is configured.
+  void InjectPlannedWork();
   bool InjectDefectiveChange();
   void StopDaemons();
   void CheckRecovery();
@@ -129,7 +139,10 @@
   void CheckNewFlow(const UpstreamOptions& upstream,
                     const std::string& daemon_address,
                     const model::Ipv4Endpoint& listener);
-  void CheckReset(const FlowId& flow, const model::Endpoint& daemon);
+  // `upstream` is the sender of the reset, or empty if a daemon sent it.
+  void CheckReset(const FlowId& flow,
+                  const model::Endpoint& daemon,
+                  const model::Endpoint& upstream);
   model::Endpoint Route(const FlowId& flow) const;
 
   bool IsDefectInjected(Invariant invariant) const {
@@ -159,6 +172,8 @@
   std::map<std::string, std::string> m_partitions;
   std::map<uint64_t, Clock::time_point> m_upstream_disturbed_until;
   Clock::time_point m_store_disturbed_until;
+  double m_handshake_loss = 0;
+  std::chrono::milliseconds m_list_age{0};
   uint64_t m_next_upstream = 0x10;
   uint16_t m_next_upstream_port = 21'000;
   int64_t m_configuration_version = 1;
--- a/soak/scenario_checks.cc
+++ b/soak/scenario_checks.cc
@@ -54,9 +54,12 @@
   }
 }
 
-void Scenario::CheckReset(const FlowId& flow, const model::Endpoint& daemon) {
+void Scenario::CheckReset(const FlowId& flow,
+                          const model::Endpoint& daemon,
+                          const model::Endpoint& upstream_endpoint) {
   const Host* host = FindHost(daemon.address.to_string());
-  if (host == nullptr || !IsSettled(host->process->disturbed_until)) {
+  if (host == nullptr || (!m_options.is_planned_only &&
+                          !IsSettled(host->process->disturbed_until))) {
     return;
   }
   // A configuration that removes a listener closes its flows.
@@ -65,15 +68,27 @@
       return;
     }
   }
+  const auto is_sender = [&](const auto& upstream) {
+    return model::ToEndpoint(upstream->options().endpoint) == upstream_endpoint;
+  };
+  for (const auto& upstream : m_upstreams) {
+    if (is_sender(upstream) &&
+        !IsSettled(m_upstream_disturbed_until[upstream->options().id])) {
+      return;
+    }
+  }
   for (const auto& upstream : m_upstreams) {
     const bool is_undisturbed =
         IsSettled(m_upstream_disturbed_until[upstream->options().id]);
-    if (is_undisturbed && upstream->HasOpenFlow(flow)) {
+    if (is_undisturbed && !is_sender(upstream) && upstream->HasOpenFlow(flow)) {
       m_violations.Report(
           Invariant::kFlowContinuity,
-          fmt::format("the flow of {} was reset by {} while {} holds it",
-                      model::ToString(flow.first),
-                      host->process->options().name, upstream->name()));
+          fmt::format(
+              "the flow of {} through {} was reset by {} while {} holds it",
+              model::ToString(flow.first), host->process->options().name,
+              upstream_endpoint.port == 0 ? "it"
+                                          : model::ToString(upstream_endpoint),
+              upstream->name()));
     }
   }
 }
--- a/soak/scenario_faults.cc
+++ b/soak/scenario_faults.cc
@@ -207,6 +207,23 @@
   AddUpstream(m_random() % 3 == 0 ? "archive" : "tally", RandomDomain(), {});
 }
 
+void Scenario::WriteOddEntry() {
+  static constexpr size_t kDepth = 300'000;
+  const std::string fields = R"({"service":"tally","state":"ready","version":)";
+  const std::array<std::string, 8> specs = {
+      fields + "\"v\xff\"}",
+      fields + R"("v\ud83d"})",
+      fields + "1e400}",
+      fields + std::string(kDepth, '[') + std::string(kDepth, ']') + "}",
+      R"({"service":"tally","address":"10.0.0.1:70000","zone":"regina"})",
+      fields + R"("v1","cold_left_ms":1e308,"slots":18446744073709551615})",
+      "null",
+      "not quoted"};
+  const std::string name =
+      fmt::format("i-{:010x}", 0xffff000000 + m_random() % 4);
+  m_store->PutText("servers", name, specs[m_random() % specs.size()]);
+}
+
 void Scenario::EvacuateDomain() {
   if (!m_evacuations.empty()) {
     return;
--- a/soak/upstream.cc
+++ b/soak/upstream.cc
@@ -1,6 +1,8 @@
 #include "soak/upstream.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <memory>
 #include <sstream>
 
 #include <fmt/format.h>
@@ -17,6 +19,11 @@
 constexpr std::chrono::milliseconds kServiceTime{15};
 constexpr size_t kIdBytes = 8;
 
+// An upstream repeats what is not acknowledged, as the platform specifies.
+constexpr std::chrono::milliseconds kFirstHandshakePause{200};
+constexpr std::chrono::milliseconds kMaxHandshakePause{1'600};
+constexpr int kMaxHandshakeRepeats = 8;
+
 // More connections than a listen backlog of 0 holds.
 constexpr int kBacklogFillers = 4;
 
@@ -37,7 +44,8 @@
                              m_options.endpoint.port)),
       m_acceptor(*context,
                  tcp::endpoint(model::ToEndpoint(m_options.endpoint).address,
-                               m_options.endpoint.port)) {
+                               m_options.endpoint.port)),
+      m_random(m_options.id) {
   ReceiveNext();
   AcceptNext();
 }
@@ -115,30 +123,11 @@
   const FlowId id{packet->source, packet->destination};
   m_echoes[id] = packet->echo;
   if (packet->syn && m_is_running) {
-    const bool is_new = !m_flows.contains(id);
-    Flow& flow = m_flows[id];
-    if (is_new) {
-      flow.local_sequence = static_cast<uint32_t>(m_options.id) + 1;
-      flow.expected_sequence = packet->sequence + 1;
-      m_hooks.on_new_flow(m_options, m_sender.address().to_string(),
-                          packet->destination);
-    }
-    Packet response;
-    response.syn = true;
-    response.ack = true;
-    response.sequence = flow.local_sequence;
-    response.ack_number = packet->sequence + 1;
-    return Send(id, response);
+    return HandleSyn(id, *packet);
   }
   const auto found = m_flows.find(id);
   if (found == m_flows.end()) {
-    if (!packet->rst) {
-      Packet reset;
-      reset.rst = true;
-      reset.sequence = packet->ack_number;
-      Send(id, reset);
-    }
-    return;
+    return SendReset(id, *packet);
   }
   if (packet->fin || packet->rst) {
     m_flows.erase(found);
@@ -147,14 +136,69 @@
   // The handshake completes at the upstream whose sequence number the client
   // acknowledges.
   if (!found->second.is_open &&
-      packet->ack_number == found->second.local_sequence + 1) {
-    found->second.is_open = true;
+      packet->ack_number != found->second.local_sequence + 1) {
+    // The client's flow is open at another upstream.
+    return SendReset(id, *packet);
   }
+  found->second.is_open = true;
   if (!packet->data.empty() && found->second.is_open) {
     HandleData(id, &found->second, *packet);
   }
 }
 
+void Upstream::HandleSyn(const FlowId& id, const Packet& syn) {
+  const bool is_new = !m_flows.contains(id);
+  Flow& flow = m_flows[id];
+  if (is_new) {
+    flow.local_sequence = static_cast<uint32_t>(m_options.id) + 1;
+    flow.expected_sequence = syn.sequence + 1;
+    m_hooks.on_new_flow(m_options, m_sender.address().to_string(),
+                        syn.destination);
+    RepeatHandshake(id, kFirstHandshakePause);
+  }
+  SendHandshake(id, flow);
+}
+
+void Upstream::SendHandshake(const FlowId& id, const Flow& flow) {
+  if (std::uniform_real_distribution<>(0, 1)(m_random) <
+      m_options.handshake_loss) {
+    return;
+  }
+  Packet response;
+  response.syn = true;
+  response.ack = true;
+  response.sequence = flow.local_sequence;
+  response.ack_number = flow.expected_sequence;
+  Send(id, response);
+}
+
+void Upstream::RepeatHandshake(const FlowId& id,
+                               std::chrono::milliseconds pause) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(*m_context, pause);
+  timer->async_wait([this, timer, id, pause](const boost::system::error_code&) {
+    const auto found = m_flows.find(id);
+    if (!m_is_running || found == m_flows.end() || found->second.is_open) {
+      return;
+    }
+    if (++found->second.handshake_repeats > kMaxHandshakeRepeats) {
+      m_flows.erase(found);
+      return;
+    }
+    SendHandshake(id, found->second);
+    RepeatHandshake(id, std::min(2 * pause, kMaxHandshakePause));
+  });
+}
+
+void Upstream::SendReset(const FlowId& id, const Packet& packet) {
+  if (packet.rst) {
+    return;
+  }
+  Packet reset;
+  reset.rst = true;
+  reset.sequence = packet.ack_number;
+  Send(id, reset);
+}
+
 void Upstream::HandleData(const FlowId& id, Flow* flow, const Packet& packet) {
   if (packet.sequence != flow->expected_sequence) {
     // A retransmission: the response, if there is one, was lost.
--- a/soak/upstream.h
+++ b/soak/upstream.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 
@@ -30,6 +31,8 @@
   std::string failure_domain;
   model::Ipv4Endpoint endpoint;
   uint16_t client_port = 0;
+  // Share of the responses to SYNs that the network loses.
+  double handshake_loss = 0;
 };
 
 // Callbacks of an upstream into the scenario.
@@ -79,6 +82,7 @@
   struct Flow {
     uint32_t local_sequence = 0;
     uint32_t expected_sequence = 0;
+    int handshake_repeats = 0;
     bool is_open = false;
     std::string response;
     uint32_t response_sequence = 0;
@@ -87,6 +91,11 @@
   void ReceiveNext();
   void AcceptNext();
   void HandlePacket(std::span<const uint8_t> datagram);
+  void HandleSyn(const FlowId& id, const Packet& syn);
+  void SendHandshake(const FlowId& id, const Flow& flow);
+  // Sends the response to a SYN again until the flow opens.
+  void RepeatHandshake(const FlowId& id, std::chrono::milliseconds pause);
+  void SendReset(const FlowId& id, const Packet& packet);
   void HandleData(const FlowId& id, Flow* flow, const Packet& packet);
   void Respond(const FlowId& id, const std::string& request_id);
   void SendResponse(const FlowId& id, const Flow& flow);
@@ -103,6 +112,7 @@
   std::array<uint8_t, 2048> m_buffer{};
   std::map<FlowId, Flow> m_flows;
   std::map<FlowId, uint32_t> m_echoes;
+  std::mt19937_64 m_random;
   bool m_is_running = true;
   bool m_is_isolated = false;
   // Connections that fill the accept queue of an isolated upstream.
--- a/tests/standins/fake_platform_store.cc
+++ b/tests/standins/fake_platform_store.cc
@@ -72,10 +72,11 @@
 uint64_t FakePlatformStore::Put(const std::string& kind,
                                 const std::string& name,
                                 const json& spec) {
-  json& object = m_objects[kind][name];
-  if (!object.is_null() && object["spec"] == spec) {
+  if (Contains(kind, name) && Spec(kind, name) == spec) {
     return m_revision;
   }
+  RecordUndo(kind, name);
+  json& object = m_objects[kind][name];
   ++m_revision;
   object = {{"meta",
              {{"name", name},
@@ -116,6 +117,7 @@
   if (found == m_objects[kind].end()) {
     return;
   }
+  RecordUndo(kind, name);
   ++m_revision;
   json object = found->second;
   object["meta"]["revision"] = m_revision;
@@ -124,6 +126,12 @@
   NotifyWatches();
 }
 
+void FakePlatformStore::RecordUndo(const std::string& kind,
+                                   const std::string& name) {
+  m_undos.push_back({std::chrono::steady_clock::now(), m_revision, kind, name,
+                     Contains(kind, name) ? m_objects[kind][name] : json()});
+}
+
 void FakePlatformStore::Compact() {
   m_compacted_revision = m_revision;
   m_history.clear();
@@ -136,6 +144,7 @@
 void FakePlatformStore::Restore() {
   m_objects = m_snapshot.objects;
   m_revision = m_snapshot.revision;
+  m_undos.clear();
   m_compacted_revision = m_revision;
   m_history.clear();
   m_watches.clear();
@@ -225,8 +234,12 @@
                       std::stoull(target.query.at("wait_ms")));
   }
   const auto after = target.query.find("after");
+  const auto serializable = target.query.find("serializable");
+  const bool may_be_old =
+      serializable != target.query.end() && serializable->second == "1";
   ServeList(session, target.kind,
-            after == target.query.end() ? "" : after->second);
+            after == target.query.end() ? "" : after->second,
+            may_be_old ? m_list_age : std::chrono::milliseconds(0));
 }
 
 void FakePlatformStore::Respond(const std::shared_ptr<Session>& session,
@@ -264,10 +277,23 @@
 
 void FakePlatformStore::ServeList(const std::shared_ptr<Session>& session,
                                   const std::string& kind,
-                                  const std::string& after) {
+                                  const std::string& after,
+                                  std::chrono::milliseconds age) {
+  std::map<std::string, json> objects = m_objects[kind];
+  uint64_t revision = m_revision;
+  const auto as_of = std::chrono::steady_clock::now() - age;
+  for (auto undo = m_undos.rbegin();
+       undo != m_undos.rend() && undo->changed_at > as_of; ++undo) {
+    revision = undo->revision_before;
+    if (undo->kind == kind) {
+      objects[undo->name] = undo->object;
+    }
+  }
+  std::erase_if(objects,
+                [](const auto& item) { return item.second.is_null(); });
   json items = json::array();
   bool has_more = false;
-  for (const auto& [name, object] : m_objects[kind]) {
+  for (const auto& [name, object] : objects) {
     if (!after.empty() && name <= after) {
       continue;
     }
@@ -278,7 +304,7 @@
     items.push_back(object);
   }
   Respond(session, 200,
-          {{"items", items}, {"has_more", has_more}, {"at", m_revision}});
+          {{"items", items}, {"has_more", has_more}, {"at", revision}});
 }
 
 void FakePlatformStore::ServeWatch(const std::shared_ptr<Session>& session,
--- a/tests/standins/fake_platform_store.h
+++ b/tests/standins/fake_platform_store.h
@@ -46,6 +46,8 @@
 
   model::Endpoint endpoint() const;
   void set_mode(StoreMode mode) { m_mode = mode; }
+  // Lists with "serializable=1" show the state of this long ago.
+  void set_list_age(std::chrono::milliseconds age) { m_list_age = age; }
   // Maximum number of objects per page of a list.
   void set_page_size(size_t size) { m_page_size = size; }
 
@@ -90,6 +92,15 @@
     nlohmann::json object;
     bool is_deleted = false;
   };
+  // What a change replaced.
+  struct Undo {
+    std::chrono::steady_clock::time_point changed_at;
+    uint64_t revision_before = 0;
+    std::string kind;
+    std::string name;
+    // Null if there was no object.
+    nlohmann::json object;
+  };
   struct Watch {
     std::shared_ptr<Session> session;
     std::string kind;
@@ -107,7 +118,9 @@
   std::string InsertSpecTexts(std::string body) const;
   void ServeList(const std::shared_ptr<Session>& session,
                  const std::string& kind,
-                 const std::string& after);
+                 const std::string& after,
+                 std::chrono::milliseconds age);
+  void RecordUndo(const std::string& kind, const std::string& name);
   void ServeWatch(const std::shared_ptr<Session>& session,
                   const std::string& kind,
                   uint64_t from_revision,
@@ -122,9 +135,11 @@
   boost::asio::io_context* m_context;
   boost::asio::ip::tcp::acceptor m_acceptor;
   StoreMode m_mode = StoreMode::kServe;
+  std::chrono::milliseconds m_list_age{0};
   size_t m_page_size = 500;
   std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
   std::vector<Event> m_history;
+  std::vector<Undo> m_undos;
   std::list<Watch> m_watches;
   struct Snapshot {
     std::map<std::string, std::map<std::string, nlohmann::json>> objects;
