--- a/soak/scenario_faults.cc
+++ b/soak/scenario_faults.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "soak/scenario.h"
+#include "standins/platform_objects.h"
 
 namespace poplarsail::soak {
 
@@ -208,17 +209,7 @@
 }
 
 void Scenario::WriteOddEntry() {
-  static constexpr size_t kDepth = 300'000;
-  const std::string fields = R"({"service":"tally","state":"ready","version":)";
-  const std::array<std::string, 8> specs = {
-      fields + "\"v\xff\"}",
-      fields + R"("v\ud83d"})",
-      fields + "1e400}",
-      fields + std::string(kDepth, '[') + std::string(kDepth, ']') + "}",
-      R"({"service":"tally","address":"10.0.0.1:70000","zone":"regina"})",
-      fields + R"("v1","cold_left_ms":1e308,"slots":18446744073709551615})",
-      "null",
-      "not quoted"};
+  const std::vector<std::string> specs = standins::OddRegistrationTexts();
   const std::string name =
       fmt::format("i-{:010x}", 0xffff000000 + m_random() % 4);
   m_store->PutText("servers", name, specs[m_random() % specs.size()]);
--- a/src/libs/flows/routing_table.h
+++ b/src/libs/flows/routing_table.h
@@ -85,7 +85,7 @@
 
 struct Listener {
   cluster_state::ListenerRecord record;
-  uint32_t weight_sum = 0;
+  uint64_t weight_sum = 0;
   // No listener that shares a service with this one has a lower priority.
   bool has_lowest_priority = true;
 };
--- a/tests/standins/platform_objects.cc
+++ b/tests/standins/platform_objects.cc
@@ -42,4 +42,17 @@
           {"seq", 1}};
 }
 
+std::vector<std::string> OddRegistrationTexts() {
+  constexpr size_t kDepth = 300'000;
+  const std::string fields = R"({"service":"tally","state":"ready","version":)";
+  return {fields + "\"v\xff\"}",
+          fields + R"("v\ud83d"})",
+          fields + "1e400}",
+          fields + std::string(kDepth, '[') + std::string(kDepth, ']') + "}",
+          R"({"service":"tally","address":"10.0.0.1:70000","zone":"regina"})",
+          fields + R"("v","cold_left_ms":1e308,"slots":18446744073709551615})",
+          "null",
+          "not quoted"};
+}
+
 }  // namespace poplarsail::standins
--- a/tests/standins/platform_objects.h
+++ b/tests/standins/platform_objects.h
@@ -32,6 +32,10 @@
                                 const std::string& failure_domain,
                                 const std::string& state);
 
+// Registrations of another writer that name no upstream, as texts; some are no
+// valid JSON.
+std::vector<std::string> OddRegistrationTexts();
+
 }  // namespace poplarsail::standins
 
 #endif  // STANDINS_PLATFORM_OBJECTS_H_
