Tests of a daemon whose log can't be written, failing

A fixture runs a real daemon with a store and takes away parts of its environment: standard streams, limits, the reader of its log.

--- a/soak/entry_process.cc
+++ b/soak/entry_process.cc
@@ -9,6 +9,7 @@
 #include <cerrno>
 #include <csignal>
 #include <fstream>
+#include <sstream>
 #include <system_error>
 #include <utility>
 
@@ -25,6 +26,25 @@
 constexpr uint16_t kFindingsPort = 18'168;
 constexpr uint16_t kMetricsPort = 18'169;
 
+void AddStandardStreams(const ProcessEnvironment& environment,
+                        const std::string& log,
+                        posix_spawn_file_actions_t* actions) {
+  if (environment.has_closed_standard_streams) {
+    for (const int fd : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+      posix_spawn_file_actions_addclose(actions, fd);
+    }
+    return;
+  }
+  if (environment.output) {
+    posix_spawn_file_actions_adddup2(actions, *environment.output,
+                                     STDOUT_FILENO);
+  } else {
+    posix_spawn_file_actions_addopen(actions, STDOUT_FILENO, log.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+  }
+  posix_spawn_file_actions_adddup2(actions, STDOUT_FILENO, STDERR_FILENO);
+}
+
 }  // namespace
 
 EntryProcess::EntryProcess(EntryProcessOptions options)
@@ -43,7 +63,11 @@
 
 void EntryProcess::WriteSettings() const {
   std::ofstream file(m_options.directory + "/" + m_options.name + ".ini");
-  file << fmt::format(
+  file << m_options.settings_text.value_or(DefaultSettings());
+}
+
+std::string EntryProcess::DefaultSettings() const {
+  return fmt::format(
       "[host]\nname = {}\nfailure_domain = {}\n[packets]\nendpoint = {}:{}\n"
       "[readiness]\nendpoint = {}:{}\n[peers]\nendpoint = {}:{}\n"
       "findings_port = {}\nseeds = {}\n[store]\nendpoint = {}\n"
@@ -61,9 +85,7 @@
   const std::string log = base + ".log";
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
-  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  AddStandardStreams(m_options.environment, log, &actions);
   // A daemon that inherits the socket of a fake would keep it open after the
   // simulated crash of the fake.
   posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
@@ -79,6 +101,10 @@
     throw std::system_error(error, std::generic_category(),
                             m_options.program + " cannot be started");
   }
+  for (const ProcessLimit& limit : m_options.environment.limits) {
+    const rlimit value{limit.value, limit.value};
+    ::prlimit(m_pid, limit.resource, &value, nullptr);
+  }
   stop_deadline.reset();
   is_kill_expected = false;
 }
@@ -106,4 +132,21 @@
   return resident * static_cast<uint64_t>(::sysconf(_SC_PAGESIZE));
 }
 
+std::chrono::milliseconds EntryProcess::ProcessorTime() const {
+  std::ifstream file(fmt::format("/proc/{}/stat", m_pid));
+  std::string text;
+  std::getline(file, text);
+  // The name of the program, in parentheses, may contain spaces.
+  std::istringstream fields(text.substr(text.rfind(')') + 1));
+  constexpr int kFieldsBeforeUserTime = 11;
+  for (int i = 0; i < kFieldsBeforeUserTime; ++i) {
+    fields >> text;
+  }
+  int64_t user_ticks = 0;
+  int64_t system_ticks = 0;
+  fields >> user_ticks >> system_ticks;
+  return std::chrono::milliseconds((user_ticks + system_ticks) * 1'000 /
+                                   ::sysconf(_SC_CLK_TCK));
+}
+
 }  // namespace poplarsail::soak
--- a/soak/entry_process.h
+++ b/soak/entry_process.h
@@ -1,12 +1,14 @@
 #ifndef SOAK_ENTRY_PROCESS_H_
 #define SOAK_ENTRY_PROCESS_H_
 
+#include <sys/resource.h>
 #include <sys/types.h>
 
 #include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "model/model.h"
 
@@ -14,6 +16,22 @@
 
 using Clock = std::chrono::steady_clock;
 
+// A resource limit, such as RLIMIT_FSIZE, that is set once the process runs.
+struct ProcessLimit {
+  __rlimit_resource resource;
+  rlim_t value = 0;
+};
+
+// What a daemon inherits from the process that starts it.
+struct ProcessEnvironment {
+  // Descriptor of this process that becomes its standard output and standard
+  // error instead of its log file.
+  std::optional<int> output;
+  // Whether it starts without standard input, output and error.
+  bool has_closed_standard_streams = false;
+  std::vector<ProcessLimit> limits;
+};
+
 struct EntryProcessOptions {
   std::string program;
   std::string directory;
@@ -23,6 +41,9 @@
   uint16_t packet_port = 0;
   model::Endpoint store;
   std::string seeds;
+  ProcessEnvironment environment;
+  // Replaces the settings that follow from the other options.
+  std::optional<std::string> settings_text;
 };
 
 // A daemon that runs as a child process.
@@ -36,10 +57,14 @@
 
   void Start();
   void Signal(int signal);
+  // Options of the next start.
+  EntryProcessOptions& next_options() { return m_options; }
   // Returns the wait status if the process has exited.
   std::optional<int> Reap();
   bool is_running() const { return m_pid > 0; }
   uint64_t ResidentBytes() const;
+  // Processor time that the process has used.
+  std::chrono::milliseconds ProcessorTime() const;
 
   const EntryProcessOptions& options() const { return m_options; }
   model::Endpoint readiness() const;
@@ -52,6 +77,7 @@
 
  private:
   void WriteSettings() const;
+  std::string DefaultSettings() const;
 
   EntryProcessOptions m_options;
   pid_t m_pid = 0;
--- /dev/null
+++ b/tests/auto/process/tst_surroundings.cc
@@ -0,0 +1,44 @@
+// A daemon goes on whatever its environment takes away from it.
+#include <catch2/catch.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <csignal>
+
+#include "process/process_fixture.h"
+
+namespace poplarsail::process {
+namespace {
+
+constexpr int kNetwork = 21;
+// The log is flushed four times a second.
+constexpr auto kSeveralFlushes = 1'500ms;
+
+struct SurroundingsFixture : ProcessFixture {
+  SurroundingsFixture() : ProcessFixture(kNetwork) {}
+};
+
+TEST_CASE_METHOD(SurroundingsFixture,
+                 "A daemon outlives the reader of its log pipe") {
+  std::array<int, 2> pipe_ends{};
+  REQUIRE(::pipe2(pipe_ends.data(), O_CLOEXEC) == 0);
+  daemon().next_options().environment.output = pipe_ends[1];
+  daemon().Start();
+  ::close(pipe_ends[1]);
+  REQUIRE(WaitUntilReady(daemon()));
+  ::close(pipe_ends[0]);
+  daemon().Signal(SIGHUP);
+  CHECK(RunAndDescribe(daemon(), kSeveralFlushes) == "running");
+}
+
+TEST_CASE_METHOD(SurroundingsFixture,
+                 "A daemon outlives a log file that may not grow") {
+  daemon().next_options().environment.limits = {{RLIMIT_FSIZE, 0}};
+  daemon().Start();
+  CHECK(RunAndDescribe(daemon(), kSeveralFlushes) == "running");
+  CHECK(IsReady(daemon()));
+}
+
+}  // namespace
+}  // namespace poplarsail::process
