--- a/tests/auto/process/tst_surroundings.cc
+++ b/tests/auto/process/tst_surroundings.cc
@@ -40,5 +40,15 @@
   CHECK(IsReady(daemon()));
 }
 
+TEST_CASE_METHOD(SurroundingsFixture, "A daemon outlives a full disk") {
+  const int full = ::open("/dev/full", O_WRONLY | O_CLOEXEC);
+  REQUIRE(full >= 0);
+  daemon().next_options().environment.output = full;
+  daemon().Start();
+  ::close(full);
+  CHECK(RunAndDescribe(daemon(), kSeveralFlushes) == "running");
+  CHECK(IsReady(daemon()));
+}
+
 }  // namespace
 }  // namespace poplarsail::process
