--- a/soak/entry_process.h
+++ b/soak/entry_process.h
@@ -62,6 +62,8 @@
   // Returns the wait status if the process has exited.
   std::optional<int> Reap();
   bool is_running() const { return m_pid > 0; }
+  // 0 if it is not running.
+  pid_t pid() const { return m_pid; }
   uint64_t ResidentBytes() const;
   // Processor time that the process has used.
   std::chrono::milliseconds ProcessorTime() const;
--- a/tests/auto/process/tst_surroundings.cc
+++ b/tests/auto/process/tst_surroundings.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
 
 #include "process/process_fixture.h"
 
@@ -19,6 +20,13 @@
   SurroundingsFixture() : ProcessFixture(kNetwork) {}
 };
 
+std::string DescriptorTarget(const soak::EntryProcess& daemon, int descriptor) {
+  std::error_code error;
+  return std::filesystem::read_symlink(
+             fmt::format("/proc/{}/fd/{}", daemon.pid(), descriptor), error)
+      .string();
+}
+
 TEST_CASE_METHOD(SurroundingsFixture,
                  "A daemon outlives the reader of its log pipe") {
   std::array<int, 2> pipe_ends{};
@@ -50,5 +58,19 @@
   CHECK(IsReady(daemon()));
 }
 
+TEST_CASE_METHOD(SurroundingsFixture,
+                 "Log lines don't reach a socket that opens as a closed "
+                 "standard stream") {
+  daemon().next_options().environment.has_closed_standard_streams = true;
+  daemon().Start();
+  CHECK(WaitUntilReady(daemon()));
+  for (const int fd : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+    CHECK(DescriptorTarget(daemon(), fd) == "/dev/null");
+  }
+  daemon().Signal(SIGHUP);
+  CHECK(RunAndDescribe(daemon(), kSeveralFlushes) == "running");
+  CHECK(IsReady(daemon()));
+}
+
 }  // namespace
 }  // namespace poplarsail::process
