Signals during the start, inherited or repeated ones don't kill a daemon

What callers saw: SIGHUP during the start ended `poplarsail serve` by signal 1, SIGTERM by signal 15; a second SIGTERM as it ended did too. A daemon that inherited SIGTERM and SIGHUP blocked never handled them.

Cause: the default actions held until the handlers were installed and again once they were removed, and the inherited mask was kept.

Evidence: of tst_process_surroundings, before: "SIGHUP during the start" and "Signals that were inherited blocked" found no "settings reloaded" and printed "running" == "exit 0" after SIGTERM; "Repeated signals" printed "signal 15".

Fix: SIGHUP is blocked until the handlers are installed, SIGTERM and SIGINT end the process with success until then, also while it waits in a system call. All three are blocked before the handlers are removed.

What remains: a signal before main(), while libraries are loaded, has its default action unless the supervisor blocks it; so the tests spawn the daemon with the signals blocked.

--- a/soak/entry_process.cc
+++ b/soak/entry_process.cc
@@ -45,6 +45,50 @@
   posix_spawn_file_actions_adddup2(actions, STDOUT_FILENO, STDERR_FILENO);
 }
 
+sigset_t SignalSet(const std::vector<int>& signals) {
+  sigset_t set;
+  sigemptyset(&set);
+  for (const int signal : signals) {
+    sigaddset(&set, signal);
+  }
+  return set;
+}
+
+void SetSignals(const ProcessEnvironment& environment,
+                posix_spawnattr_t* attributes) {
+  const sigset_t blocked = SignalSet(environment.blocked_signals);
+  posix_spawnattr_setsigmask(attributes, &blocked);
+  sigset_t defaults;
+  sigfillset(&defaults);
+  for (const int signal : environment.ignored_signals) {
+    sigdelset(&defaults, signal);
+  }
+  posix_spawnattr_setsigdefault(attributes, &defaults);
+  posix_spawnattr_setflags(attributes,
+                           POSIX_SPAWN_SETSIGMASK | POSIX_SPAWN_SETSIGDEF);
+}
+
+// Ignores signals while it exists: posix_spawn() can only pass this on.
+class SignalIgnorer {
+ public:
+  explicit SignalIgnorer(const std::vector<int>& signals) {
+    for (const int signal : signals) {
+      m_earlier_actions.emplace_back(signal, std::signal(signal, SIG_IGN));
+    }
+  }
+  ~SignalIgnorer() {
+    for (const auto& [signal, action] : m_earlier_actions) {
+      std::signal(signal, action);
+    }
+  }
+
+  SignalIgnorer(const SignalIgnorer&) = delete;
+  SignalIgnorer& operator=(const SignalIgnorer&) = delete;
+
+ private:
+  std::vector<std::pair<int, sighandler_t>> m_earlier_actions;
+};
+
 }  // namespace
 
 EntryProcess::EntryProcess(EntryProcessOptions options)
@@ -92,9 +136,14 @@
   std::array<const char*, 5> arguments = {m_options.program.c_str(), "serve",
                                           "--settings", settings.c_str(),
                                           nullptr};
+  posix_spawnattr_t attributes;
+  posix_spawnattr_init(&attributes);
+  SetSignals(m_options.environment, &attributes);
+  const SignalIgnorer ignorer(m_options.environment.ignored_signals);
   const int error =
-      ::posix_spawn(&m_pid, m_options.program.c_str(), &actions, nullptr,
+      ::posix_spawn(&m_pid, m_options.program.c_str(), &actions, &attributes,
                     const_cast<char* const*>(arguments.data()), environ);
+  posix_spawnattr_destroy(&attributes);
   posix_spawn_file_actions_destroy(&actions);
   if (error != 0) {
     m_pid = 0;
--- a/soak/entry_process.h
+++ b/soak/entry_process.h
@@ -30,6 +30,9 @@
   // Whether it starts without standard input, output and error.
   bool has_closed_standard_streams = false;
   std::vector<ProcessLimit> limits;
+  // All other signals start unblocked and with their default action.
+  std::vector<int> blocked_signals;
+  std::vector<int> ignored_signals;
 };
 
 struct EntryProcessOptions {
--- a/src/libs/daemon_process/daemon_process.cc
+++ b/src/libs/daemon_process/daemon_process.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <initializer_list>
 
 namespace poplarsail::daemon_process {
@@ -30,11 +31,41 @@
   }
 }
 
+void ChangeMask(int operation, std::initializer_list<int> signals) {
+  sigset_t set;
+  sigemptyset(&set);
+  for (const int signal : signals) {
+    sigaddset(&set, signal);
+  }
+  ::pthread_sigmask(operation, &set, nullptr);
+}
+
+void ExitWithSuccess(int) {
+  ::_exit(EXIT_SUCCESS);
+}
+
+// The mask and the actions may be inherited from any process.
+void SetStartSignals() {
+  ChangeMask(SIG_BLOCK, {SIGHUP});
+  std::signal(SIGTERM, ExitWithSuccess);
+  std::signal(SIGINT, ExitWithSuccess);
+  ChangeMask(SIG_UNBLOCK, {SIGTERM, SIGINT});
+}
+
 }  // namespace
 
 void Prepare() {
+  SetStartSignals();
   OpenStandardStreams();
   IgnoreWriteSignals();
 }
 
+void UnblockSignals() {
+  ChangeMask(SIG_UNBLOCK, {SIGHUP, SIGTERM, SIGINT});
+}
+
+void BlockSignals() {
+  ChangeMask(SIG_BLOCK, {SIGHUP, SIGTERM, SIGINT});
+}
+
 }  // namespace poplarsail::daemon_process
--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -16,6 +16,7 @@
 #include <fmt/format.h>
 
 #include "cluster_state/cluster_state.h"
+#include "daemon_process/daemon_process.h"
 #include "entry/failure_report_channel.h"
 #include "entry/flow_scheduling.h"
 #include "entry/http_server.h"
@@ -163,7 +164,10 @@
   StartServers();
   StartTimers();
   StartSignals();
+  daemon_process::UnblockSignals();
   m_context->run();
+  // The default actions apply again once the handlers are removed.
+  daemon_process::BlockSignals();
   telemetry::Log(telemetry::LogLevel::kInfo, "daemon", "stopped");
   m_components->log.Flush();
   return 0;
--- a/tests/auto/process/tst_surroundings.cc
+++ b/tests/auto/process/tst_surroundings.cc
@@ -6,6 +6,9 @@
 
 #include <csignal>
 #include <filesystem>
+#include <memory>
+#include <thread>
+#include <vector>
 
 #include "process/process_fixture.h"
 
@@ -15,9 +18,35 @@
 constexpr int kNetwork = 21;
 // The log is flushed four times a second.
 constexpr auto kSeveralFlushes = 1'500ms;
+// Longer than the daemon forwards packets after SIGTERM.
+constexpr auto kStopTime = 5s;
+// Moments after the start at which signals are sent.
+constexpr auto kSignalInterval = 500us;
+constexpr int kSignalMoments = 21;
 
 struct SurroundingsFixture : ProcessFixture {
   SurroundingsFixture() : ProcessFixture(kNetwork) {}
+
+  // Starts a daemon for each moment after the start and signals it then.
+  std::vector<std::unique_ptr<soak::EntryProcess>> SignalDuringStart(
+      int signal) {
+    std::vector<std::unique_ptr<soak::EntryProcess>> daemons;
+    for (int i = 0; i < kSignalMoments; ++i) {
+      soak::EntryProcessOptions options = Options(
+          fmt::format("front-regina-{}", i + 1), fmt::format("1.{}", i + 1));
+      // A signal before main() can only be held back by the supervisor.
+      options.environment.blocked_signals = {SIGHUP, SIGTERM, SIGINT};
+      daemons.push_back(std::make_unique<soak::EntryProcess>(options));
+      daemons.back()->Start();
+      std::this_thread::sleep_for(i * kSignalInterval);
+      daemons.back()->Signal(signal);
+    }
+    return daemons;
+  }
+
+  bool HasLogLine(const soak::EntryProcess& daemon, const std::string& text) {
+    return Log(daemon).find(text) != std::string::npos;
+  }
 };
 
 std::string DescriptorTarget(const soak::EntryProcess& daemon, int descriptor) {
@@ -72,5 +101,65 @@
   CHECK(IsReady(daemon()));
 }
 
+TEST_CASE_METHOD(SurroundingsFixture,
+                 "SIGHUP during the start doesn't end a daemon") {
+  const auto daemons = SignalDuringStart(SIGHUP);
+  for (const auto& daemon : daemons) {
+    CAPTURE(daemon->options().name);
+    CHECK(RunUntil([&]() { return HasLogLine(*daemon, "settings reloaded"); },
+                   5s));
+    CHECK(RunAndDescribe(*daemon, 0ms) == "running");
+    CHECK(WaitUntilReady(*daemon));
+  }
+}
+
+TEST_CASE_METHOD(SurroundingsFixture,
+                 "SIGTERM during the start ends a daemon with success") {
+  const auto daemons = SignalDuringStart(SIGTERM);
+  for (const auto& daemon : daemons) {
+    CAPTURE(daemon->options().name);
+    CHECK(RunAndDescribe(*daemon, kStopTime) == "exit 0");
+  }
+}
+
+TEST_CASE_METHOD(SurroundingsFixture,
+                 "Signals that were inherited blocked reach a daemon") {
+  daemon().next_options().environment.blocked_signals = {SIGHUP, SIGTERM};
+  daemon().Start();
+  REQUIRE(WaitUntilReady(daemon()));
+  daemon().Signal(SIGHUP);
+  CHECK(RunUntil([&]() { return HasLogLine(daemon(), "settings reloaded"); },
+                 kSeveralFlushes));
+  daemon().Signal(SIGTERM);
+  CHECK(RunAndDescribe(daemon(), kStopTime) == "exit 0");
+}
+
+TEST_CASE_METHOD(SurroundingsFixture,
+                 "Signals that were inherited ignored reach a daemon") {
+  daemon().next_options().environment.ignored_signals = {SIGHUP, SIGTERM};
+  daemon().Start();
+  REQUIRE(WaitUntilReady(daemon()));
+  daemon().Signal(SIGHUP);
+  CHECK(RunUntil([&]() { return HasLogLine(daemon(), "settings reloaded"); },
+                 kSeveralFlushes));
+  daemon().Signal(SIGTERM);
+  CHECK(RunAndDescribe(daemon(), kStopTime) == "exit 0");
+}
+
+TEST_CASE_METHOD(SurroundingsFixture,
+                 "Repeated signals don't kill a daemon that is ending") {
+  daemon().Start();
+  REQUIRE(WaitUntilReady(daemon()));
+  std::optional<int> status;
+  const auto deadline = std::chrono::steady_clock::now() + kStopTime;
+  while (!status && std::chrono::steady_clock::now() < deadline) {
+    daemon().Signal(SIGTERM);
+    daemon().Signal(SIGHUP);
+    std::this_thread::sleep_for(50us);
+    status = daemon().Reap();
+  }
+  CHECK(Describe(status) == "exit 0");
+}
+
 }  // namespace
 }  // namespace poplarsail::process
