A line that can't be printed no longer aborts a daemon

What callers saw: with standard error on a full device, or with a file size limit that is reached, the process ended by signal 6 instead of exit 1 where it had an error to print; a log line without a sink threw the same exception.

Cause: fmt::print() throws std::system_error if the line can't be written; the handler of the top level then threw from its catch block.

Fix: both places use fputs(), which reports failures by its result only.

--- a/src/app/commands.cc
+++ b/src/app/commands.cc
@@ -1,5 +1,6 @@
 #include "app/commands.h"
 
+#include <cstdio>
 #include <exception>
 
 #include <fmt/format.h>
@@ -71,6 +72,11 @@
       fmt::format("Unknown command \"{}\". See \"poplarsail --help\".", name));
 }
 
+// Unlike fmt::print(), doesn't throw if the text can't be written.
+void PrintError(const std::string& text) {
+  std::fputs((text + "\n").c_str(), stderr);
+}
+
 }  // namespace
 
 const std::vector<Command>& Commands() {
@@ -106,13 +112,13 @@
     }
     return RunCommandByName(argv[1], argc - 1, argv + 1);
   } catch (const UsageError& error) {
-    fmt::print(stderr, "{}\n", error.what());
+    PrintError(error.what());
     return kExitUsage;
   } catch (const cxxopts::exceptions::exception& error) {
-    fmt::print(stderr, "{}. See \"poplarsail --help\".\n", error.what());
+    PrintError(fmt::format("{}. See \"poplarsail --help\".", error.what()));
     return kExitUsage;
   } catch (const std::exception& error) {
-    fmt::print(stderr, "{}\n", error.what());
+    PrintError(error.what());
     return kExitFailure;
   }
 }
--- a/src/libs/telemetry/log.cc
+++ b/src/libs/telemetry/log.cc
@@ -113,7 +113,8 @@
     g_sink->Write(line);
     return;
   }
-  fmt::print(stderr, "{}", line);
+  // fmt::print() throws if the line can't be written.
+  std::fputs(line.c_str(), stderr);
 }
 
 }  // namespace poplarsail::telemetry
--- a/tests/auto/process/tst_surroundings.cc
+++ b/tests/auto/process/tst_surroundings.cc
@@ -87,6 +87,17 @@
   CHECK(IsReady(daemon()));
 }
 
+TEST_CASE_METHOD(SurroundingsFixture,
+                 "An error that can't be printed doesn't abort a daemon") {
+  const int full = ::open("/dev/full", O_WRONLY | O_CLOEXEC);
+  REQUIRE(full >= 0);
+  daemon().next_options().environment.output = full;
+  daemon().next_options().settings_text = "[host]\n";
+  daemon().Start();
+  ::close(full);
+  CHECK(RunAndDescribe(daemon(), kStopTime) == "exit 1");
+}
+
 TEST_CASE_METHOD(SurroundingsFixture,
                  "Log lines don't reach a socket that opens as a closed "
                  "standard stream") {
--- a/tests/auto/telemetry/tst_log.cc
+++ b/tests/auto/telemetry/tst_log.cc
@@ -1,5 +1,9 @@
 #include <catch2/catch.hpp>
 
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <exception>
 #include <string>
 
 #include "telemetry/telemetry.h"
@@ -27,5 +31,21 @@
         prefix + std::string(255, 'a'));
 }
 
+TEST_CASE("A line that can't be written to standard error doesn't throw") {
+  const int standard_error = ::dup(STDERR_FILENO);
+  const int full = ::open("/dev/full", O_WRONLY);
+  REQUIRE(::dup2(full, STDERR_FILENO) == STDERR_FILENO);
+  bool has_thrown = false;
+  try {
+    Log(LogLevel::kInfo, "store", "x");
+  } catch (const std::exception&) {
+    has_thrown = true;
+  }
+  ::dup2(standard_error, STDERR_FILENO);
+  ::close(standard_error);
+  ::close(full);
+  CHECK_FALSE(has_thrown);
+}
+
 }  // namespace
 }  // namespace poplarsail::telemetry
