The log leaves the flags of its output to whoever shares it

What callers saw: the daemon set O_NONBLOCK on its standard output. The flag belongs to the open file, which it shares with its supervisor and others whose writes then failed with EAGAIN. Failed writes of the log were not counted anywhere.

Cause: the log sink made the inherited descriptor non-blocking.

Fix: a pipe or terminal is opened again through /proc/self/fd with flags of its own, and a socket is written with MSG_DONTWAIT; a flush is one system call as before. poll() before a write was not used: another writer of the pipe can fill it in between, and the daemon would wait. Where the file can't be opened again (a pipe of another user, no /proc), the flag is set as before, since the daemon must not wait. /metrics has the dropped lines and the failed writes.

--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -228,6 +228,7 @@
                         &m_components->peer_exchange->counts()};
   const SchedulingFigures scheduling = m_components->scheduling.figures();
   sources.scheduling = &scheduling;
+  sources.log = &m_components->log.counts();
   const auto now = std::chrono::steady_clock::now();
   for (const auto& watcher : m_components->store_watchers) {
     sources.store_response_ages.emplace_back(
--- a/src/libs/entry/metrics.cc
+++ b/src/libs/entry/metrics.cc
@@ -131,6 +131,12 @@
       {"poplarsail_store_unusable_eras_total",
        "Responses of the store that were not used because of their era.",
        sources.store->unusable_eras},
+      {"poplarsail_log_dropped_lines_total",
+       "Log lines that could not be written and were dropped.",
+       sources.log->dropped_lines},
+      {"poplarsail_log_failed_writes_total",
+       "Writes of the log that failed for another reason than a slow reader.",
+       sources.log->failed_writes},
   };
   std::vector<MetricFamily> families;
   for (const Row& row : rows) {
--- a/src/libs/entry/metrics.h
+++ b/src/libs/entry/metrics.h
@@ -11,6 +11,7 @@
 #include "entry/scheduling_figures.h"
 #include "entry/state_store.h"
 #include "flows/flows.h"
+#include "telemetry/telemetry.h"
 
 namespace poplarsail::entry {
 
@@ -26,6 +27,7 @@
       store_response_ages;
   // nullptr if flows are not scheduled.
   const SchedulingFigures* scheduling = nullptr;
+  const telemetry::LogCounts* log = nullptr;
 };
 
 // Returns all metrics in the Prometheus text format.
--- a/src/libs/telemetry/log_sink.h
+++ b/src/libs/telemetry/log_sink.h
@@ -4,9 +4,12 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
+#include "telemetry/log_output.h"
+
 namespace poplarsail::telemetry {
 
 // Destination of complete log lines.
@@ -21,12 +24,19 @@
 // Lines that exceed this rate are dropped and counted.
 inline constexpr double kLogBytesPerSecond = 32 * 1024;
 
+struct LogCounts {
+  uint64_t dropped_lines = 0;
+  // Writes that failed for another reason than a slow reader.
+  uint64_t failed_writes = 0;
+
+  friend bool operator==(const LogCounts&, const LogCounts&) = default;
+};
+
 // Buffers lines and writes them on Flush, without ever blocking on a slow
 // reader. Lines that exceed the buffer or the rate are dropped and counted; the
 // number is logged once the buffer has been written. Not thread-safe.
 class BoundedLogSink : public LogSink {
  public:
-  // Sets `fd` to non-blocking mode.
   explicit BoundedLogSink(int fd);
 
   void Write(std::string_view line) override;
@@ -34,16 +44,16 @@
   // Writes as much of the buffer as the file descriptor accepts.
   void Flush();
 
-  uint64_t dropped_lines() const { return m_dropped_lines; }
+  const LogCounts& counts() const { return m_counts; }
 
  private:
   bool TryConsumeAllowance(size_t bytes);
 
-  int m_fd;
+  std::unique_ptr<LogOutput> m_output;
   std::string m_buffer;
   double m_allowance_bytes = kLogBytesPerSecond;
   std::chrono::steady_clock::time_point m_allowance_updated_at;
-  uint64_t m_dropped_lines = 0;
+  LogCounts m_counts;
   uint64_t m_reported_dropped_lines = 0;
 };
 
--- a/tests/auto/entry/tst_metrics.cc
+++ b/tests/auto/entry/tst_metrics.cc
@@ -43,13 +43,15 @@
   scheduling.refused_by_reason["no-room"] = 5;
   scheduling.schedulers = {{"tally", 12, 7, 3}};
   scheduling.waits[{0xc6120001, 8443}].Add(90ms);
+  const telemetry::LogCounts log{8, 9};
   const std::string text = FormatMetrics({&packets,
                                           &steering,
                                           &cluster_state,
                                           &store,
                                           &peers,
                                           {{"upstreams", 2'500ms}},
-                                          &scheduling});
+                                          &scheduling,
+                                          &log});
   CHECK_THAT(text,
              Contains("poplarsail_packets_total{reason=\"no-upstream\"} 7"));
   CHECK_THAT(text,
@@ -66,6 +68,8 @@
                             "\"198.18.0.1:8443\"} 1"));
   CHECK_THAT(text, Contains("poplarsail_store_era 4"));
   CHECK_THAT(text, Contains("poplarsail_store_unusable_eras_total 2"));
+  CHECK_THAT(text, Contains("poplarsail_log_dropped_lines_total 8"));
+  CHECK_THAT(text, Contains("poplarsail_log_failed_writes_total 9"));
   CHECK_THAT(
       text,
       Contains(
--- a/tests/auto/process/tst_surroundings.cc
+++ b/tests/auto/process/tst_surroundings.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include <fcntl.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -98,6 +99,33 @@
   CHECK(RunAndDescribe(daemon(), kStopTime) == "exit 1");
 }
 
+TEST_CASE_METHOD(
+    SurroundingsFixture,
+    "A daemon leaves the flags of its log pipe to its supervisor") {
+  std::array<int, 2> ends{};
+  SECTION("pipe") {
+    REQUIRE(::pipe2(ends.data(), O_CLOEXEC) == 0);
+  }
+  SECTION("socket") {
+    REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, ends.data()) ==
+            0);
+  }
+  daemon().next_options().environment.output = ends[1];
+  daemon().Start();
+  CHECK(WaitUntilReady(daemon()));
+  RunFor(kSeveralFlushes);
+  CHECK((::fcntl(ends[1], F_GETFL) & O_NONBLOCK) == 0);
+  std::array<char, 4096> text{};
+  const ssize_t size = ::read(ends[0], text.data(), text.size());
+  REQUIRE(size > 0);
+  CHECK(std::string(text.data(), static_cast<size_t>(size)).find("started") !=
+        std::string::npos);
+  daemon().Signal(SIGKILL);
+  CHECK(RunAndDescribe(daemon(), kStopTime) == "signal 9");
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
+
 TEST_CASE_METHOD(SurroundingsFixture,
                  "Log lines don't reach a socket that opens as a closed "
                  "standard stream") {
