poplarsail run outlives SIGHUP and the reader of its log

What callers saw: `poplarsail run` ended by signal 1 at SIGHUP, and would by the signals of a log that can't be written, as `poplarsail serve` did.

Cause: the same: default actions of signals.

Evidence: the new case of tst_process_surroundings printed "signal 1" == "running"; with the fix it runs on after SIGHUP and ends with exit 0 at SIGTERM, which it logs to a pipe without a reader. SIGPIPE alone was not shown on the old code of this command.

Fix: the command prepares its process like `serve`. It ignores SIGHUP, since it reads its settings at the start only.

--- a/soak/entry_process.cc
+++ b/soak/entry_process.cc
@@ -133,9 +133,9 @@
   // A daemon that inherits the socket of a fake would keep it open after the
   // simulated crash of the fake.
   posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-  std::array<const char*, 5> arguments = {m_options.program.c_str(), "serve",
-                                          "--settings", settings.c_str(),
-                                          nullptr};
+  std::array<const char*, 5> arguments = {
+      m_options.program.c_str(), m_options.command.c_str(), "--settings",
+      settings.c_str(), nullptr};
   posix_spawnattr_t attributes;
   posix_spawnattr_init(&attributes);
   SetSignals(m_options.environment, &attributes);
--- a/soak/entry_process.h
+++ b/soak/entry_process.h
@@ -37,6 +37,8 @@
 
 struct EntryProcessOptions {
   std::string program;
+  // Command of the program that runs a daemon.
+  std::string command = "serve";
   std::string directory;
   std::string name;
   std::string failure_domain;
--- a/src/app/commands.cc
+++ b/src/app/commands.cc
@@ -9,6 +9,7 @@
 #include "app/object_commands.h"
 #include "app/observe_commands.h"
 #include "app/serve_command.h"
+#include "daemon_process/daemon_process.h"
 #include "model/model.h"
 #include "objects/objects.h"
 #include "runtime/runtime.h"
@@ -18,6 +19,7 @@
 namespace {
 
 int RunDaemonCommand(const cxxopts::ParseResult& arguments) {
+  daemon_process::Prepare();
   const model::Settings settings = model::LoadSettings(SettingsPath(arguments));
   return IsCheckOnly(arguments) ? kExitSuccess : runtime::RunDaemon(settings);
 }
--- a/src/libs/runtime/daemon.cc
+++ b/src/libs/runtime/daemon.cc
@@ -1,15 +1,15 @@
 #include "runtime/daemon.h"
 
-#include <signal.h>
-
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <csignal>
 #include <cstdlib>
 #include <memory>
 #include <thread>
 #include <utility>
 
+#include "daemon_process/daemon_process.h"
 #include "objects/objects.h"
 #include "runtime/admin_server.h"
 #include "runtime/control_worker.h"
@@ -47,6 +47,9 @@
         }) {}
 
   void Run() {
+    // The settings are read at the start only.
+    std::signal(SIGHUP, SIG_IGN);
+    daemon_process::UnblockSignals();
     std::thread packets([this] { m_packets.Run(m_stop_packets); });
     std::thread membership([this] { m_membership.Run(m_stop_packets); });
     std::thread requests([this] { m_requests.Run(); });
@@ -72,6 +75,7 @@
     membership.join();
     m_stop_admin.store(true);
     admin.join();
+    daemon_process::BlockSignals();
     Log(LogLevel::kInfo, "daemon", "stopped");
   }
 
--- a/tests/auto/process/tst_surroundings.cc
+++ b/tests/auto/process/tst_surroundings.cc
@@ -126,6 +126,30 @@
   ::close(ends[1]);
 }
 
+TEST_CASE_METHOD(SurroundingsFixture,
+                 "poplarsail run outlives SIGHUP and the reader of its log") {
+  std::array<int, 2> pipe_ends{};
+  REQUIRE(::pipe2(pipe_ends.data(), O_CLOEXEC) == 0);
+  soak::EntryProcessOptions& options = daemon().next_options();
+  options.command = "run";
+  options.environment.output = pipe_ends[1];
+  options.settings_text = fmt::format(
+      "[host]\nname = front-regina-1\nfailure_domain = regina\naddress = {}\n"
+      "[objects]\nendpoint = {}\n[stop]\ngrace_ms = 0\nlinger_ms = 0\n",
+      options.address,
+      model::ToString(model::Endpoint{Address("4.9"), 18'000}));
+  daemon().Start();
+  ::close(pipe_ends[1]);
+  std::array<char, 4096> text{};
+  REQUIRE(::read(pipe_ends[0], text.data(), text.size()) > 0);
+  RunFor(500ms);
+  ::close(pipe_ends[0]);
+  daemon().Signal(SIGHUP);
+  CHECK(RunAndDescribe(daemon(), kSeveralFlushes) == "running");
+  daemon().Signal(SIGTERM);
+  CHECK(RunAndDescribe(daemon(), kStopTime) == "exit 0");
+}
+
 TEST_CASE_METHOD(SurroundingsFixture,
                  "Log lines don't reach a socket that opens as a closed "
                  "standard stream") {
