Soak: takes the log pipe's reader, file size or standard streams away

Why the soak missed the ends by signals: its daemons always wrote to a file without a limit.

Change: every second host on average gets a log pipe whose reader goes away during the run, a file size limit below 8 KB, or no standard streams, drawn from random numbers of their own, so that earlier seeds keep their schedules. What the pipe's reader gets is appended to the host's log file.

--- a/soak/scenario.cc
+++ b/soak/scenario.cc
@@ -103,6 +103,7 @@
                        static_cast<uint16_t>(18'000 + number)};
       options.seeds = fmt::format("{}:18166,{}:18166,{}:18166", Address(1, 1),
                                   Address(1, 2), Address(1, 4));
+      options.environment = DrawEnvironment(options);
       Host host;
       host.store_proxy = std::make_unique<TcpProxy>(&m_context, options.store,
                                                     m_store->endpoint());
--- a/soak/scenario.h
+++ b/soak/scenario.h
@@ -15,6 +15,7 @@
 
 #include "soak/client.h"
 #include "soak/entry_process.h"
+#include "soak/log_reader.h"
 #include "soak/tcp_proxy.h"
 #include "soak/upstream.h"
 #include "soak/violations.h"
@@ -93,6 +94,8 @@
   // Draws how old lists of the store are, and how many responses to SYNs are
   // lost.
   void DrawConditions();
+  // Draws what the host's process is deprived of in this run.
+  ProcessEnvironment DrawEnvironment(const EntryProcessOptions& options);
   // Another writer leaves entries among those of the upstreams.
   void ScheduleOddEntries();
   void WriteOddEntry();
@@ -161,6 +164,8 @@
   ScenarioOptions m_options;
   boost::asio::io_context m_context;
   std::mt19937_64 m_random;
+  std::mt19937_64 m_environment_random;
+  std::vector<std::unique_ptr<LogReader>> m_log_readers;
   Violations m_violations;
   ExecutionCounter m_executions;
   std::unique_ptr<standins::FakePlatformStore> m_store;
--- a/soak/scenario_schedule.cc
+++ b/soak/scenario_schedule.cc
@@ -17,6 +17,9 @@
 constexpr uint64_t kSilenceSeed = 0x73696c656e6365;
 constexpr uint64_t kConditionSeed = 0x7765617468;
 constexpr uint64_t kOddEntrySeed = 0x6f646421;
+constexpr uint64_t kEnvironmentSeed = 0x656e7669726f6e;
+// The log of a daemon reaches a file size limit below this within a run.
+constexpr uint64_t kMaxLogFileBytes = 8'192;
 constexpr std::array<double, 3> kHandshakeLosses = {0, 0.0015, 0.01};
 constexpr std::array<milliseconds, 3> kListAges = {
     milliseconds(0), milliseconds(1'000), milliseconds(3'000)};
@@ -104,11 +107,33 @@
 }
 
 void Scenario::DrawConditions() {
+  m_environment_random.seed(m_options.seed ^ kEnvironmentSeed);
   std::mt19937_64 random(m_options.seed ^ kConditionSeed);
   m_handshake_loss = kHandshakeLosses[random() % kHandshakeLosses.size()];
   m_list_age = kListAges[random() % kListAges.size()];
 }
 
+ProcessEnvironment Scenario::DrawEnvironment(
+    const EntryProcessOptions& options) {
+  ProcessEnvironment environment;
+  // Half of the hosts keep their whole log.
+  const uint64_t choice = m_environment_random() % 6;
+  const uint64_t detail = m_environment_random();
+  if (choice == 0) {
+    m_log_readers.push_back(std::make_unique<LogReader>(
+        &m_context, options.directory + "/" + options.name + ".log"));
+    LogReader* reader = m_log_readers.back().get();
+    environment.output = reader->writer();
+    RunAfter(milliseconds(detail % m_options.fault_time.count()),
+             [reader]() { reader->Close(); });
+  } else if (choice == 1) {
+    environment.limits = {{RLIMIT_FSIZE, detail % kMaxLogFileBytes}};
+  } else if (choice == 2) {
+    environment.has_closed_standard_streams = true;
+  }
+  return environment;
+}
+
 void Scenario::ScheduleOddEntries() {
   std::mt19937_64 random(m_options.seed ^ kOddEntrySeed);
   for (uint64_t left = 1 + random() % 3; left > 0; --left) {
