--- a/soak/entry_process.h
+++ b/soak/entry_process.h
@@ -30,10 +30,15 @@
   // Whether it starts without standard input, output and error.
   bool has_closed_standard_streams = false;
   std::vector<ProcessLimit> limits;
+  // All other signals start unblocked and with their default action.
+  std::vector<int> blocked_signals;
+  std::vector<int> ignored_signals;
 };
 
 struct EntryProcessOptions {
   std::string program;
+  // Command of the program that runs a daemon.
+  std::string command = "serve";
   std::string directory;
   std::string name;
   std::string failure_domain;
@@ -62,6 +67,8 @@
   // Returns the wait status if the process has exited.
   std::optional<int> Reap();
   bool is_running() const { return m_pid > 0; }
+  // 0 if it is not running.
+  pid_t pid() const { return m_pid; }
   uint64_t ResidentBytes() const;
   // Processor time that the process has used.
   std::chrono::milliseconds ProcessorTime() const;
--- a/src/app/commands.cc
+++ b/src/app/commands.cc
@@ -1,5 +1,6 @@
 #include "app/commands.h"
 
+#include <cstdio>
 #include <exception>
 
 #include <fmt/format.h>
@@ -8,6 +9,7 @@
 #include "app/object_commands.h"
 #include "app/observe_commands.h"
 #include "app/serve_command.h"
+#include "daemon_process/daemon_process.h"
 #include "model/model.h"
 #include "objects/objects.h"
 #include "runtime/runtime.h"
@@ -17,6 +19,7 @@
 namespace {
 
 int RunDaemonCommand(const cxxopts::ParseResult& arguments) {
+  daemon_process::Prepare();
   const model::Settings settings = model::LoadSettings(SettingsPath(arguments));
   return IsCheckOnly(arguments) ? kExitSuccess : runtime::RunDaemon(settings);
 }
@@ -71,6 +74,11 @@
       fmt::format("Unknown command \"{}\". See \"poplarsail --help\".", name));
 }
 
+// Unlike fmt::print(), doesn't throw if the text can't be written.
+void PrintError(const std::string& text) {
+  std::fputs((text + "\n").c_str(), stderr);
+}
+
 }  // namespace
 
 const std::vector<Command>& Commands() {
@@ -106,13 +114,13 @@
     }
     return RunCommandByName(argv[1], argc - 1, argv + 1);
   } catch (const UsageError& error) {
-    fmt::print(stderr, "{}\n", error.what());
+    PrintError(error.what());
     return kExitUsage;
   } catch (const cxxopts::exceptions::exception& error) {
-    fmt::print(stderr, "{}. See \"poplarsail --help\".\n", error.what());
+    PrintError(fmt::format("{}. See \"poplarsail --help\".", error.what()));
     return kExitUsage;
   } catch (const std::exception& error) {
-    fmt::print(stderr, "{}\n", error.what());
+    PrintError(error.what());
     return kExitFailure;
   }
 }
