A held TCP address keeps the daemon from nothing but that address

What callers saw: another program at 0.0.0.0:9100, or a second daemon at the same address, kept `poplarsail serve` from starting: exit 1 with `bind: Address already in use`, which names neither address nor server. So it was with the ports of the readiness check and of the peers.

Cause: HttpServer bound its address in the constructor and threw.

Evidence: tst_process_start_addresses, real daemons. On 4 of 4 test cases fail: the daemon doesn't get ready, `"exit 1" == "running"`. With this change all pass (16 assertions).

Why it works: HttpServer binds in Start(). If that fails, one line names server, address and reason, and it tries again at a deadline a second later; the next line comes when the reason changes or when it listens. Packets are served meanwhile. Without its readiness server a host is not ready to the fabric.

--- a/src/libs/entry/http_server.cc
+++ b/src/libs/entry/http_server.cc
@@ -5,6 +5,8 @@
 #include <boost/beast/http.hpp>
 #include <utility>
 
+#include "telemetry/telemetry.h"
+
 namespace poplarsail::entry {
 
 namespace {
@@ -28,13 +30,77 @@
 };
 
 HttpServer::HttpServer(boost::asio::io_context* context,
+                       const std::string& component,
                        const model::Endpoint& endpoint)
-    : m_acceptor(*context, {endpoint.address, endpoint.port}) {}
+    : m_component(component),
+      m_endpoint(endpoint),
+      m_acceptor(*context),
+      m_retry_timer(*context) {}
 
 void HttpServer::AddHandler(const std::string& path, Handler handler) {
   m_handlers[path] = std::move(handler);
 }
 
+void HttpServer::Start() {
+  const boost::system::error_code error = Listen();
+  LogListenResult(error);
+  m_listen_error = error;
+  if (error) {
+    RetryLater();
+  } else {
+    AcceptNext();
+  }
+}
+
+boost::system::error_code HttpServer::Listen() {
+  using Acceptor = boost::asio::ip::tcp::acceptor;
+  const boost::asio::ip::tcp::endpoint local(m_endpoint.address,
+                                             m_endpoint.port);
+  boost::system::error_code error;
+  m_acceptor.open(local.protocol(), error);
+  if (!error) {
+    m_acceptor.set_option(Acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    m_acceptor.bind(local, error);
+  }
+  if (!error) {
+    m_acceptor.listen(Acceptor::max_listen_connections, error);
+  }
+  if (error) {
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+  }
+  return error;
+}
+
+void HttpServer::RetryLater() {
+  m_retry_timer.expires_at(std::chrono::steady_clock::now() +
+                           kListenRetryInterval);
+  m_retry_timer.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      Start();
+    }
+  });
+}
+
+void HttpServer::LogListenResult(const boost::system::error_code& error) {
+  if (error == m_listen_error) {
+    return;
+  }
+  if (!error) {
+    telemetry::Log(
+        telemetry::LogLevel::kInfo, "http", "listening",
+        {{"server", m_component}, {"endpoint", model::ToString(m_endpoint)}});
+    return;
+  }
+  telemetry::Log(telemetry::LogLevel::kError, "http",
+                 "address can't be listened on, trying again",
+                 {{"server", m_component},
+                  {"endpoint", model::ToString(m_endpoint)},
+                  {"reason", error.message()}});
+}
+
 void HttpServer::AcceptNext() {
   m_acceptor.async_accept([this](const boost::system::error_code& error,
                                  boost::asio::ip::tcp::socket socket) {
--- a/src/libs/entry/http_server.h
+++ b/src/libs/entry/http_server.h
@@ -3,6 +3,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -20,24 +22,38 @@
 
 using transport::HttpQuery;
 
+// Interval between attempts to listen on an address that is not available.
+inline constexpr std::chrono::milliseconds kListenRetryInterval{1'000};
+
 // Serves requests on one address with a handler per path.
 class HttpServer {
  public:
   using Handler = std::function<HttpResponse(const HttpQuery& query)>;
 
-  // Throws boost::system::system_error if the address can't be bound.
-  HttpServer(boost::asio::io_context* context, const model::Endpoint& endpoint);
+  // `component` names the server in the log.
+  HttpServer(boost::asio::io_context* context,
+             const std::string& component,
+             const model::Endpoint& endpoint);
 
   void AddHandler(const std::string& path, Handler handler);
-  void Start() { AcceptNext(); }
+  // Listens as soon as the address is available.
+  void Start();
 
  private:
   struct Connection;
+  boost::system::error_code Listen();
+  void RetryLater();
+  void LogListenResult(const boost::system::error_code& error);
   void AcceptNext();
   void ReadNext(const std::shared_ptr<Connection>& connection);
   HttpResponse Dispatch(const std::string& target) const;
 
+  std::string m_component;
+  model::Endpoint m_endpoint;
   boost::asio::ip::tcp::acceptor m_acceptor;
+  boost::asio::steady_timer m_retry_timer;
+  // Result of the last attempt to listen.
+  boost::system::error_code m_listen_error;
   std::map<std::string, Handler> m_handlers;
 };
 
--- /dev/null
+++ b/tests/auto/process/tst_start_addresses.cc
@@ -0,0 +1,175 @@
+// A daemon starts although something else holds one of its addresses.
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <optional>
+#include <sstream>
+#include <string_view>
+
+#include "process/process_fixture.h"
+
+namespace poplarsail::process {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr int kNetwork = 22;
+constexpr uint16_t kPacketPort = 18'172;
+constexpr uint16_t kPeersPort = 18'166;
+constexpr uint16_t kReadinessPort = 18'167;
+constexpr uint16_t kFindingsPort = 18'168;
+// Not used by other test programs, since a test holds it at all addresses.
+constexpr uint16_t kMetricsPort = 21'922;
+// Longer than several attempts to listen.
+constexpr auto kSeveralAttempts = 3'500ms;
+// A daemon that can't start ends within some milliseconds.
+constexpr auto kSettleTime = 1'500ms;
+
+struct StartFixture : ProcessFixture {
+  StartFixture() : ProcessFixture(kNetwork) {
+    daemon().next_options().settings_text = Settings("1.1", "1.1");
+  }
+
+  // Settings of a daemon at the address `host` whose packets, and so its
+  // metrics, are at `packet_host`.
+  std::string Settings(const std::string& packet_host,
+                       const std::string& host,
+                       uint16_t packet_port = kPacketPort) {
+    const std::string address = Address(host).to_string();
+    return fmt::format(
+        "[host]\nname = front\nfailure_domain = regina\n"
+        "[packets]\nendpoint = {}:{}\n[readiness]\nendpoint = {}:{}\n"
+        "[peers]\nendpoint = {}:{}\nfindings_port = {}\n"
+        "[store]\nendpoint = {}\n[metrics]\nport = {}\n"
+        "[stop]\nlinger_ms = 1500\n",
+        Address(packet_host).to_string(), packet_port, address, kReadinessPort,
+        address, kPeersPort, kFindingsPort, model::ToString(store().endpoint()),
+        kMetricsPort);
+  }
+
+  model::Endpoint Endpoint(const std::string& host, uint16_t port) const {
+    return {Address(host), port};
+  }
+
+  // Options of another daemon, whose log has the name `name`.
+  soak::EntryProcessOptions OtherOptions(const std::string& name,
+                                         const std::string& host,
+                                         const std::string& settings) const {
+    soak::EntryProcessOptions options = Options(name, host);
+    options.settings_text = settings;
+    return options;
+  }
+
+  // Whether a GET of the path is answered with status 200.
+  static bool Responds(const model::Endpoint& endpoint,
+                       const std::string& path) {
+    asio::io_context context;
+    tcp::socket socket(context);
+    boost::system::error_code error;
+    socket.connect({endpoint.address, endpoint.port}, error);
+    if (error) {
+      return false;
+    }
+    const timeval timeout{1, 0};
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &timeout,
+                 sizeof(timeout));
+    asio::write(socket,
+                asio::buffer("GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n"),
+                error);
+    std::array<char, 64> response{};
+    const ssize_t size =
+        ::recv(socket.native_handle(), response.data(), response.size(), 0);
+    return size > 0 &&
+           std::string_view(response.data(), static_cast<size_t>(size))
+               .starts_with("HTTP/1.1 200");
+  }
+
+  // The lines of the daemon's log that contain all parts.
+  size_t CountLines(const soak::EntryProcess& daemon,
+                    const std::vector<std::string>& parts) const {
+    std::istringstream log(Log(daemon));
+    size_t count = 0;
+    for (std::string line; std::getline(log, line);) {
+      count += std::all_of(parts.begin(), parts.end(),
+                           [&line](const std::string& part) {
+                             return line.find(part) != std::string::npos;
+                           });
+    }
+    return count;
+  }
+
+  bool WaitForLine(const soak::EntryProcess& daemon,
+                   const std::vector<std::string>& parts,
+                   std::chrono::milliseconds time = 5s) {
+    return RunUntil([&]() { return CountLines(daemon, parts) > 0; }, time);
+  }
+};
+
+// Holds a TCP address as another program does.
+struct Holder {
+  explicit Holder(const tcp::endpoint& endpoint)
+      : acceptor(context, endpoint) {}
+
+  asio::io_context context;
+  tcp::acceptor acceptor;
+};
+
+TEST_CASE_METHOD(StartFixture,
+                 "A daemon serves while another program holds the port of its "
+                 "metrics") {
+  std::optional<Holder> holder;
+  holder.emplace(tcp::endpoint(asio::ip::address_v4::any(), kMetricsPort));
+  daemon().Start();
+  REQUIRE(WaitUntilReady(daemon(), 5s));
+  CHECK(RunAndDescribe(daemon(), kSeveralAttempts) == "running");
+  CHECK(CountLines(daemon(), {"metrics", "127.22.1.1:21922",
+                              "Address already in use"}) == 1);
+  holder.reset();
+  const model::Endpoint metrics = Endpoint("1.1", kMetricsPort);
+  CHECK(RunUntil([&]() { return Responds(metrics, "/metrics"); }, 5s));
+  CHECK(WaitForLine(daemon(), {"metrics", "127.22.1.1:21922", "listening"}));
+}
+
+TEST_CASE_METHOD(StartFixture,
+                 "A daemon serves while another daemon holds the port of its "
+                 "metrics") {
+  daemon().Start();
+  REQUIRE(WaitUntilReady(daemon()));
+  soak::EntryProcess second(
+      OtherOptions("second", "1.2", Settings("1.1", "1.2", kPacketPort + 100)));
+  second.Start();
+  REQUIRE(WaitUntilReady(second, 5s));
+  daemon().Signal(SIGKILL);
+  REQUIRE(RunAndDescribe(daemon(), 5s) == "signal 9");
+  const model::Endpoint metrics = Endpoint("1.1", kMetricsPort);
+  CHECK(RunUntil([&]() { return Responds(metrics, "/metrics"); }, 5s));
+}
+
+TEST_CASE_METHOD(StartFixture,
+                 "A daemon becomes ready once its readiness port is free") {
+  std::optional<Holder> holder;
+  holder.emplace(tcp::endpoint(Address("1.1"), kReadinessPort));
+  daemon().Start();
+  CHECK(RunAndDescribe(daemon(), kSettleTime) == "running");
+  CHECK(CountLines(daemon(), {"readiness", "127.22.1.1:18167"}) == 1);
+  CHECK(Responds(Endpoint("1.1", kMetricsPort), "/metrics"));
+  holder.reset();
+  CHECK(WaitUntilReady(daemon(), 5s));
+}
+
+TEST_CASE_METHOD(StartFixture,
+                 "A daemon serves while its TCP port for peers is held") {
+  std::optional<Holder> holder;
+  holder.emplace(tcp::endpoint(Address("1.1"), kPeersPort));
+  daemon().Start();
+  CHECK(WaitUntilReady(daemon(), 5s));
+  CHECK(WaitForLine(daemon(), {"peers", "127.22.1.1:18166"}));
+  holder.reset();
+  const model::Endpoint peers = Endpoint("1.1", kPeersPort);
+  CHECK(RunUntil([&]() { return Responds(peers, "/belief"); }, 5s));
+}
+
+}  // namespace
+}  // namespace poplarsail::process
