The start waits for a UDP address that is held or not there yet

What callers saw: started 0.3 s after SIGTERM of the earlier process, which lingers for up to 5 s, or beside another daemon, or before its interface was up, `poplarsail serve` ended with exit 1, `Failed to bind the UDP socket`.

Cause: the packet socket and the socket of the peers' messages are bound once, by constructors, and each failure ended the process.

Evidence: tst_process_start_addresses. The case of an error that can't pass (EINVAL, exit 1 with the address) passes before and after. The case with /dev/full as the log failed on a build without the change of log.cc: `"signal 6" == "running"`, since fmt::print throws, also for the last message.

Why it works: StartDaemon tries again every 100 ms on EADDRINUSE and EADDRNOTAVAIL only, with a line at once and every 5 s. Settings are read before each attempt, so that a process that waits takes over corrected ones, as one that is restarted does. The sockets stay exclusive. SIGTERM and SIGINT while it waits end it with exit 0: the handlers are installed before the signals are unblocked, and stay until the daemon has its own.

--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -12,14 +12,17 @@
 
 int RunServe(const cxxopts::ParseResult& arguments) {
   const std::string path = SettingsPath(arguments);
-  const entry::EntrySettings settings = entry::LoadEntrySettings(path);
-  if (IsCheckOnly(arguments)) {
+  if (arguments.count("check") > 0) {
+    entry::LoadEntrySettings(path);
+    IsCheckOnly(arguments);
     return kExitSuccess;
   }
   boost::asio::io_context context(1);
-  entry::EntryDaemon daemon(&context, path, settings,
-                            platform::MakeEntryPlatform(&context, settings));
-  return daemon.Run();
+  const auto daemon = entry::StartDaemon(
+      &context, path, [&context](const entry::EntrySettings& settings) {
+        return platform::MakeEntryPlatform(&context, settings);
+      });
+  return daemon ? daemon->Run() : kExitSuccess;
 }
 
 }  // namespace poplarsail::app
--- /dev/null
+++ b/src/libs/entry/daemon_start.cc
@@ -0,0 +1,95 @@
+#include "entry/daemon_start.h"
+
+#include <optional>
+#include <system_error>
+#include <utility>
+
+#include "entry/start_wait.h"
+#include "telemetry/telemetry.h"
+
+namespace poplarsail::entry {
+
+namespace {
+
+using cluster_state::SteadyTime;
+
+SteadyTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
+bool MayPass(const std::system_error& error) {
+  return error.code() == std::errc::address_in_use ||
+         error.code() == std::errc::address_not_available;
+}
+
+class DaemonStart {
+ public:
+  DaemonStart(boost::asio::io_context* context,
+              std::string settings_path,
+              const PlatformFactory* make_platform)
+      : m_context(context),
+        m_settings_path(std::move(settings_path)),
+        m_make_platform(make_platform) {}
+
+  std::unique_ptr<EntryDaemon> Run() {
+    std::unique_ptr<EntryDaemon> daemon = TryToStart();
+    while (!daemon && WaitUntil(Now() + kStartAttemptInterval)) {
+      daemon = TryToStart();
+    }
+    if (m_wait && m_wait->IsStopRequested()) {
+      telemetry::Log(telemetry::LogLevel::kInfo, "daemon",
+                     "stopped before the start");
+      return nullptr;
+    }
+    return daemon;
+  }
+
+ private:
+  // Returns null if an address is not available.
+  std::unique_ptr<EntryDaemon> TryToStart() {
+    const EntrySettings settings = LoadEntrySettings(m_settings_path);
+    try {
+      return std::make_unique<EntryDaemon>(m_context, m_settings_path, settings,
+                                           (*m_make_platform)(settings));
+    } catch (const std::system_error& error) {
+      if (!MayPass(error)) {
+        throw;
+      }
+      LogUnavailable(error.what());
+      return nullptr;
+    }
+  }
+
+  // Returns false if a signal asks the process to stop.
+  bool WaitUntil(SteadyTime deadline) {
+    if (!m_wait) {
+      m_wait.emplace(m_context);
+    }
+    return m_wait->WaitUntil(deadline);
+  }
+
+  void LogUnavailable(const std::string& reason) {
+    if (Now() < m_next_log) {
+      return;
+    }
+    m_next_log = Now() + kStartLogInterval;
+    telemetry::Log(telemetry::LogLevel::kWarning, "daemon",
+                   "waiting for an address", {{"reason", reason}});
+  }
+
+  boost::asio::io_context* m_context;
+  std::string m_settings_path;
+  const PlatformFactory* m_make_platform;
+  std::optional<StartWait> m_wait;
+  SteadyTime m_next_log = SteadyTime::min();
+};
+
+}  // namespace
+
+std::unique_ptr<EntryDaemon> StartDaemon(boost::asio::io_context* context,
+                                         const std::string& settings_path,
+                                         const PlatformFactory& make_platform) {
+  return DaemonStart(context, settings_path, &make_platform).Run();
+}
+
+}  // namespace poplarsail::entry
--- a/src/libs/entry/entry.h
+++ b/src/libs/entry/entry.h
@@ -3,6 +3,7 @@
 #define ENTRY_ENTRY_H_
 
 #include "entry/cluster_state_codec.h"
+#include "entry/daemon_start.h"
 #include "entry/entry_daemon.h"
 #include "entry/entry_settings.h"
 #include "entry/failure_report_channel.h"
--- a/src/libs/telemetry/log.cc
+++ b/src/libs/telemetry/log.cc
@@ -113,7 +113,8 @@
     g_sink->Write(line);
     return;
   }
-  fmt::print(stderr, "{}", line);
+  // A log that can't be written keeps nothing from running.
+  static_cast<void>(std::fputs(line.c_str(), stderr));
 }
 
 }  // namespace poplarsail::telemetry
--- a/tests/auto/process/tst_start_addresses.cc
+++ b/tests/auto/process/tst_start_addresses.cc
@@ -1,7 +1,10 @@
 // A daemon starts although something else holds one of its addresses.
 #include <catch2/catch.hpp>
 
+#include <fcntl.h>
+
 #include <algorithm>
+#include <boost/asio/ip/udp.hpp>
 #include <csignal>
 #include <optional>
 #include <sstream>
@@ -171,5 +174,112 @@
   CHECK(RunUntil([&]() { return Responds(peers, "/belief"); }, 5s));
 }
 
+TEST_CASE_METHOD(StartFixture,
+                 "A daemon that is started while the earlier one lingers takes "
+                 "over") {
+  daemon().Start();
+  REQUIRE(WaitUntilReady(daemon()));
+  soak::EntryProcess second(
+      OtherOptions("second", "1.1", Settings("1.1", "1.1")));
+  daemon().Signal(SIGTERM);
+  RunFor(300ms);
+  second.Start();
+  CHECK(WaitForLine(second, {"waiting for an address", "127.22.1.1:18172",
+                             "Address already in use"}));
+  CHECK(RunAndDescribe(daemon(), 8s) == "exit 0");
+  CHECK(WaitUntilReady(second, 5s));
+  CHECK(CountLines(second, {"waiting for an address"}) <= 2);
+}
+
+TEST_CASE_METHOD(StartFixture,
+                 "A daemon never serves an address that another one serves") {
+  const int signal = GENERATE(SIGTERM, SIGINT);
+  const bool starts_with_blocked_signals = GENERATE(false, true);
+  daemon().Start();
+  REQUIRE(WaitUntilReady(daemon()));
+  soak::EntryProcess second(
+      OtherOptions("second", "1.2", Settings("1.1", "1.2")));
+  sigset_t blocked;
+  sigset_t previous;
+  sigemptyset(&blocked);
+  sigaddset(&blocked, signal);
+  if (starts_with_blocked_signals) {
+    ::pthread_sigmask(SIG_BLOCK, &blocked, &previous);
+  }
+  second.Start();
+  if (starts_with_blocked_signals) {
+    ::pthread_sigmask(SIG_SETMASK, &previous, nullptr);
+  }
+  CHECK(RunAndDescribe(second, kSettleTime) == "running");
+  CHECK_FALSE(IsReady(second));
+  CHECK(CountLines(second, {"waiting for an address"}) == 1);
+  CHECK(CountLines(second, {"msg=started"}) == 0);
+  second.Signal(SIGHUP);
+  CHECK(RunAndDescribe(second, 300ms) == "running");
+  second.Signal(signal);
+  CHECK(RunAndDescribe(second, 2s) == "exit 0");
+  CHECK(IsReady(daemon()));
+}
+
+TEST_CASE_METHOD(StartFixture,
+                 "A daemon waits for the UDP port of the peers' messages") {
+  asio::io_context context;
+  std::optional<asio::ip::udp::socket> holder;
+  holder.emplace(context,
+                 asio::ip::udp::endpoint(Address("1.1"), kFindingsPort));
+  daemon().Start();
+  CHECK(RunAndDescribe(daemon(), kSettleTime) == "running");
+  CHECK(CountLines(daemon(), {"waiting for an address", "127.22.1.1:18168"}) ==
+        1);
+  holder.reset();
+  CHECK(WaitUntilReady(daemon(), 5s));
+}
+
+TEST_CASE_METHOD(StartFixture,
+                 "A daemon waits for an address although its log is full") {
+  asio::io_context context;
+  std::optional<asio::ip::udp::socket> holder;
+  holder.emplace(context,
+                 asio::ip::udp::endpoint(Address("1.1"), kFindingsPort));
+  const int full = ::open("/dev/full", O_WRONLY | O_CLOEXEC);
+  REQUIRE(full >= 0);
+  daemon().next_options().environment.output = full;
+  daemon().Start();
+  ::close(full);
+  CHECK(RunAndDescribe(daemon(), kSettleTime) == "running");
+  holder.reset();
+  CHECK(WaitUntilReady(daemon(), 5s));
+}
+
+TEST_CASE_METHOD(StartFixture,
+                 "A daemon waits for an address that doesn't exist, and takes "
+                 "over another one from its settings") {
+  // An address for documentation, which no machine has.
+  std::string settings = Settings("1.1", "1.1");
+  const std::string packets = "127.22.1.1:18172";
+  settings.replace(settings.find(packets), packets.size(), "192.0.2.1:18172");
+  daemon().next_options().settings_text = settings;
+  daemon().Start();
+  CHECK(RunAndDescribe(daemon(), kSettleTime) == "running");
+  CHECK(WaitForLine(daemon(), {"waiting for an address", "192.0.2.1:18172",
+                               "Cannot assign requested address"}));
+  std::ofstream(directory() / (daemon().options().name + ".ini"))
+      << Settings("1.1", "1.1");
+  CHECK(WaitUntilReady(daemon(), 5s));
+}
+
+TEST_CASE_METHOD(StartFixture,
+                 "An address that can't be used at all ends the start with its "
+                 "name") {
+  std::string settings = Settings("1.1", "1.1");
+  const std::string packets = "127.22.1.1:18172";
+  // The address of a group of another family of addresses.
+  settings.replace(settings.find(packets), packets.size(), "[ff02::1]:18172");
+  daemon().next_options().settings_text = settings;
+  daemon().Start();
+  CHECK(RunAndDescribe(daemon(), 5s) == "exit 1");
+  CHECK(CountLines(daemon(), {"[ff02::1]:18172"}) == 1);
+}
+
 }  // namespace
 }  // namespace poplarsail::process
