Figures of bounds and seeds that can't be used no longer keep hosts down

What callers saw: a bound rendered as `3000.0`, `2500.5`, `500`, `0` or `true`, an empty `internal_port_range`, or a seed that is no address ended the start with exit 1, on each start anew.

Cause: durations were whole numbers from 1000 on, and an empty value of a key that has a default counted as missing.

Why it works: bounds are a type of their own, replaced by the nearest value in range (`0`, `true`, `false`: the default) with one line that names key, value and what is used. ComputeWatchTiming is tested with the shortest and longest.

--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -3,6 +3,8 @@
 #include <boost/asio/io_context.hpp>
 #include <string>
 
+#include <fmt/format.h>
+
 #include "app/commands.h"
 #include "app/daemon_options.h"
 #include "entry/entry.h"
@@ -10,12 +12,30 @@
 
 namespace poplarsail::app {
 
+namespace {
+
+// Reports as errors also what the daemon would start with.
+int CheckSettings(const cxxopts::ParseResult& arguments) {
+  const std::string path = SettingsPath(arguments);
+  entry::SettingWarnings warnings;
+  entry::LoadEntrySettings(path, &warnings);
+  for (const model::SettingWarning& warning : warnings) {
+    fmt::print(stderr, "{}: key \"{}\": \"{}\" can't be used; {} would be\n",
+               path, warning.key, warning.value, warning.used);
+  }
+  if (!warnings.empty()) {
+    return kExitFailure;
+  }
+  IsCheckOnly(arguments);
+  return kExitSuccess;
+}
+
+}  // namespace
+
 int RunServe(const cxxopts::ParseResult& arguments) {
   const std::string path = SettingsPath(arguments);
   if (arguments.count("check") > 0) {
-    entry::LoadEntrySettings(path);
-    IsCheckOnly(arguments);
-    return kExitSuccess;
+    return CheckSettings(arguments);
   }
   boost::asio::io_context context(1);
   const auto daemon = entry::StartDaemon(
--- a/src/libs/entry/daemon_start.cc
+++ b/src/libs/entry/daemon_start.cc
@@ -47,10 +47,14 @@
  private:
   // Returns null if an address is not available.
   std::unique_ptr<EntryDaemon> TryToStart() {
-    const EntrySettings settings = LoadEntrySettings(m_settings_path);
+    SettingWarnings warnings;
+    const EntrySettings settings =
+        LoadEntrySettings(m_settings_path, &warnings);
     try {
-      return std::make_unique<EntryDaemon>(m_context, m_settings_path, settings,
-                                           (*m_make_platform)(settings));
+      auto daemon = std::make_unique<EntryDaemon>(
+          m_context, m_settings_path, settings, (*m_make_platform)(settings));
+      LogSettingWarnings(warnings);
+      return daemon;
     } catch (const std::system_error& error) {
       if (!MayPass(error)) {
         throw;
--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -287,8 +287,10 @@
 void EntryDaemon::Reload() {
   try {
     m_settings_text = model::ReadSettingsFile(m_settings_path);
+    SettingWarnings warnings;
     const EntrySettings loaded =
-        ParseEntrySettings(m_settings_text, m_settings_path);
+        ParseEntrySettings(m_settings_text, m_settings_path, &warnings);
+    LogSettingWarnings(warnings);
     EntrySettings reloadable = m_settings;
     reloadable.seeds = loaded.seeds;
     reloadable.linger = loaded.linger;
--- a/src/libs/entry/entry_settings.cc
+++ b/src/libs/entry/entry_settings.cc
@@ -5,23 +5,37 @@
 
 #include <fmt/format.h>
 
+#include "telemetry/telemetry.h"
+
 namespace poplarsail::entry {
 
 namespace {
 
+std::string Trimmed(const std::string& text) {
+  constexpr const char* kBlanks = " \t\r";
+  const size_t start = text.find_first_not_of(kBlanks);
+  if (start == std::string::npos) {
+    return "";
+  }
+  return text.substr(start, text.find_last_not_of(kBlanks) - start + 1);
+}
+
+// A seed that is not an address is left out: the others are of use without it.
 std::vector<model::Endpoint> ParseSeeds(const std::string& text,
-                                        const std::string& source) {
+                                        SettingWarnings* warnings) {
   std::vector<model::Endpoint> seeds;
   std::istringstream stream(text);
   std::string item;
   while (std::getline(stream, item, ',')) {
-    const auto endpoint = model::ParseEndpoint(item);
-    if (!endpoint) {
-      throw model::ValidationError(
-          source, "peers.seeds",
-          fmt::format("\"{}\" is not an IP address with a port", item));
+    const std::string seed = Trimmed(item);
+    if (seed.empty()) {
+      continue;
+    }
+    if (const auto endpoint = model::ParseEndpoint(seed)) {
+      seeds.push_back(*endpoint);
+    } else if (warnings != nullptr) {
+      warnings->push_back({"peers.seeds", seed, "the other seeds"});
     }
-    seeds.push_back(*endpoint);
   }
   return seeds;
 }
@@ -61,15 +75,15 @@
        "commas; \"none\" for no hosts."},
       {"store", "endpoint", Type::kEndpoint, "", 0, 0,
        "Address and port of the platform's store."},
-      {"store", "detect_silence_ms", Type::kNumber, "4000", 1'000, 3'600'000,
+      {"store", "detect_silence_ms", Type::kBound, "4000", 1'000, 3'600'000,
        "Milliseconds after which a connection to the store that went silent "
        "has to be replaced; the bounds below count from then."},
-      {"store", "configuration_ms", Type::kNumber, "3000", 1'000, 3'600'000,
+      {"store", "configuration_ms", Type::kBound, "3000", 1'000, 3'600'000,
        "Milliseconds within which an accepted configuration has to be in "
        "force."},
-      {"store", "drain_ms", Type::kNumber, "3000", 1'000, 3'600'000,
+      {"store", "drain_ms", Type::kBound, "3000", 1'000, 3'600'000,
        "Milliseconds after which a draining upstream must get no new flows."},
-      {"store", "evacuation_ms", Type::kNumber, "5000", 1'000, 3'600'000,
+      {"store", "evacuation_ms", Type::kBound, "5000", 1'000, 3'600'000,
        "Milliseconds after which an evacuated failure domain must get no new "
        "flows."},
       {"scheduling", "mode", Type::kString, "auto", 0, 0,
@@ -78,7 +92,7 @@
        "host places its flows alone."},
       {"metrics", "port", Type::kNumber, "9100", 1, 65'535,
        "TCP port of /metrics, on the address of packets.endpoint."},
-      {"stop", "linger_ms", Type::kNumber, "2500", 0, 3'600'000,
+      {"stop", "linger_ms", Type::kDuration, "2500", 0, 3'600'000,
        "Milliseconds for which packets are still forwarded after SIGTERM; the "
        "fabric detects a stopping host within two of its checks, which it "
        "makes every half second."},
@@ -87,9 +101,10 @@
 }
 
 EntrySettings ParseEntrySettings(const std::string& text,
-                                 const std::string& source) {
+                                 const std::string& source,
+                                 SettingWarnings* warnings) {
   const model::SettingValues values =
-      model::ParseSettingValues(text, source, EntrySettingKeys());
+      model::ParseSettingValues(text, source, EntrySettingKeys(), warnings);
   const auto endpoint = [&values](const char* name) {
     return model::EndpointSetting(values, name);
   };
@@ -108,7 +123,7 @@
   settings.failure_report_port =
       static_cast<uint16_t>(number("peers.findings_port"));
   if (values.at("peers.seeds") != "none") {
-    settings.seeds = ParseSeeds(values.at("peers.seeds"), source);
+    settings.seeds = ParseSeeds(values.at("peers.seeds"), warnings);
   }
   settings.store = endpoint("store.endpoint");
   settings.bounds = {milliseconds(number("store.detect_silence_ms")),
@@ -122,8 +137,19 @@
   return settings;
 }
 
-EntrySettings LoadEntrySettings(const std::string& path) {
-  return ParseEntrySettings(model::ReadSettingsFile(path), path);
+EntrySettings LoadEntrySettings(const std::string& path,
+                                SettingWarnings* warnings) {
+  return ParseEntrySettings(model::ReadSettingsFile(path), path, warnings);
+}
+
+void LogSettingWarnings(const SettingWarnings& warnings) {
+  for (const model::SettingWarning& warning : warnings) {
+    telemetry::Log(telemetry::LogLevel::kWarning, "daemon",
+                   "setting not used as written",
+                   {{"key", warning.key},
+                    {"value", warning.value},
+                    {"used", warning.used}});
+  }
 }
 
 }  // namespace poplarsail::entry
--- a/src/libs/entry/entry_settings.h
+++ b/src/libs/entry/entry_settings.h
@@ -43,11 +43,16 @@
 
 const std::vector<model::SettingKey>& EntrySettingKeys();
 
+using SettingWarnings = std::vector<model::SettingWarning>;
+
 // Load and parse settings in INI format. Throw model::ValidationError with
-// file, key and reason.
-EntrySettings LoadEntrySettings(const std::string& path);
+// file, key and reason. Append to `warnings` unless it is null.
+EntrySettings LoadEntrySettings(const std::string& path,
+                                SettingWarnings* warnings = nullptr);
 EntrySettings ParseEntrySettings(const std::string& text,
-                                 const std::string& source);
+                                 const std::string& source,
+                                 SettingWarnings* warnings = nullptr);
+void LogSettingWarnings(const SettingWarnings& warnings);
 
 }  // namespace poplarsail::entry
 
--- a/src/libs/model/settings.h
+++ b/src/libs/model/settings.h
@@ -14,6 +14,11 @@
   kString,
   kNumber,
   kDecimal,
+  // Milliseconds; fractions of them are dropped.
+  kDuration,
+  // As kDuration. Values out of range are replaced by the nearest in range;
+  // "0", "true" and "false" state no figure and select the default.
+  kBound,
   kAddress,
   kEndpoint
 };
@@ -36,13 +41,28 @@
 // Validated values by "section.name".
 using SettingValues = std::map<std::string, std::string>;
 
-// Parses INI text and validates it against `keys`. Throws ValidationError with
-// `source`, the key and the reason.
-SettingValues ParseSettingValues(const std::string& text,
-                                 const std::string& source,
-                                 const std::vector<SettingKey>& keys);
+// A value that is not used as it is written.
+struct SettingWarning {
+  std::string key;
+  std::string value;
+  // What is used instead.
+  std::string used;
 
-// Return the value of a key that the table declares with this type.
+  friend bool operator==(const SettingWarning&,
+                         const SettingWarning&) = default;
+};
+
+// Parses INI text and validates it against `keys`. A key that is absent or
+// empty has its default. Throws ValidationError with `source`, the key and the
+// reason. Appends to `warnings` unless it is null.
+SettingValues ParseSettingValues(
+    const std::string& text,
+    const std::string& source,
+    const std::vector<SettingKey>& keys,
+    std::vector<SettingWarning>* warnings = nullptr);
+
+// Return the value of a key that the table declares with this type; durations
+// and bounds are numbers.
 int64_t NumberSetting(const SettingValues& values, const std::string& name);
 double DecimalSetting(const SettingValues& values, const std::string& name);
 Endpoint EndpointSetting(const SettingValues& values, const std::string& name);
--- a/tests/auto/entry/tst_watch_timing.cc
+++ b/tests/auto/entry/tst_watch_timing.cc
@@ -65,5 +65,18 @@
   CHECK(timing.wait == 29s);
 }
 
+TEST_CASE("The shortest and longest bounds that settings allow yield watches") {
+  const auto detect_silence = GENERATE(milliseconds(1s), milliseconds(1h));
+  const auto bound = GENERATE(milliseconds(1s), milliseconds(1h));
+  for (const ObjectKind kind : kKinds) {
+    const WatchTiming timing =
+        ComputeWatchTiming({detect_silence, bound, bound, bound}, kind);
+    CHECK(timing.wait >= 200ms);
+    CHECK(timing.wait <= 29s);
+    CHECK(timing.coalesce_delay >= 100ms);
+    CHECK(timing.coalesce_delay * 5 <= bound);
+  }
+}
+
 }  // namespace
 }  // namespace poplarsail::entry
--- a/tests/auto/process/tst_start_addresses.cc
+++ b/tests/auto/process/tst_start.cc
@@ -1,4 +1,5 @@
-// A daemon starts although something else holds one of its addresses.
+// A daemon starts although an address, or a part of its settings, is not what
+// it needs.
 #include <catch2/catch.hpp>
 
 #include <fcntl.h>
@@ -281,5 +282,41 @@
   CHECK(CountLines(daemon(), {"[ff02::1]:18172"}) == 1);
 }
 
+TEST_CASE_METHOD(StartFixture, "A daemon starts with any figure as a bound") {
+  struct Bound {
+    const char* value;
+    const char* used;
+  };
+  const Bound bound =
+      GENERATE(Bound{"3000.0", nullptr}, Bound{"2500.5", nullptr},
+               Bound{"3e3", nullptr}, Bound{"", nullptr}, Bound{"500", "1000"},
+               Bound{"0", "3000"}, Bound{"true", "3000"});
+  CAPTURE(bound.value);
+  std::string settings = Settings("1.1", "1.1");
+  settings.replace(settings.find("[store]\n"), 8,
+                   std::string("[store]\ndrain_ms = ") + bound.value + "\n");
+  daemon().next_options().settings_text = settings;
+  daemon().Start();
+  CHECK(WaitUntilReady(daemon(), 5s));
+  CHECK(RunAndDescribe(daemon(), 500ms) == "running");
+  const size_t warning_count = bound.used == nullptr ? 0 : 1;
+  CHECK(CountLines(daemon(), {"not used as written"}) == warning_count);
+  if (bound.used != nullptr) {
+    CHECK(CountLines(daemon(),
+                     {"key=store.drain_ms", std::string("value=") + bound.value,
+                      std::string("used=") + bound.used}) == 1);
+  }
+}
+
+TEST_CASE_METHOD(StartFixture, "A seed that is no address costs no other one") {
+  std::string settings = Settings("1.1", "1.1");
+  settings.replace(settings.find("[store]\n"), 8,
+                   "seeds = 127.22.1.2:18166, nowhere:1,\n[store]\n");
+  daemon().next_options().settings_text = settings;
+  daemon().Start();
+  CHECK(WaitUntilReady(daemon(), 5s));
+  CHECK(WaitForLine(daemon(), {"key=peers.seeds", "value=nowhere:1"}));
+}
+
 }  // namespace
 }  // namespace poplarsail::process
