Settings that are being written at the start are read again for 2 s

What callers saw: a daemon started while the platform was writing its settings file (missing, empty or half written) ended with exit 1 within milliseconds.

Cause: the file was read once. Also, it was read a second time for the comparison with later versions: a change between the two reads stayed unnoticed.

Evidence: tst_process_start.

Why it works: StartDaemon reads the file every 50 ms until a deadline 2 s later, with one line when it begins to wait; then the error ends the process with exit 1 as before. SIGTERM and SIGINT end the wait with exit 0. The text that was parsed is the one that later versions are compared with. No exception of a reload ends the daemon.

Open: a file cut off where its rest has defaults can't be told from a whole one. Its seeds are taken over when it is complete; other keys need a restart.

--- a/src/libs/entry/daemon_start.cc
+++ b/src/libs/entry/daemon_start.cc
@@ -45,15 +45,24 @@
   }
 
  private:
-  // Returns null if an address is not available.
-  std::unique_ptr<EntryDaemon> TryToStart() {
+  struct LoadedSettings {
+    std::string text;
+    EntrySettings settings;
     SettingWarnings warnings;
-    const EntrySettings settings =
-        LoadEntrySettings(m_settings_path, &warnings);
+  };
+
+  // Returns null if an address is not available, or if a signal asks the
+  // process to stop.
+  std::unique_ptr<EntryDaemon> TryToStart() {
+    const std::optional<LoadedSettings> loaded = LoadSettings();
+    if (!loaded) {
+      return nullptr;
+    }
     try {
       auto daemon = std::make_unique<EntryDaemon>(
-          m_context, m_settings_path, settings, (*m_make_platform)(settings));
-      LogSettingWarnings(warnings);
+          m_context, m_settings_path, loaded->text, loaded->settings,
+          (*m_make_platform)(loaded->settings));
+      LogSettingWarnings(loaded->warnings);
       return daemon;
     } catch (const std::system_error& error) {
       if (!MayPass(error)) {
@@ -64,6 +73,33 @@
     }
   }
 
+  // Returns nullopt if a signal asks the process to stop.
+  std::optional<LoadedSettings> LoadSettings() {
+    const SteadyTime deadline = Now() + kSettingsTimeout;
+    bool is_first_attempt = true;
+    while (true) {
+      try {
+        LoadedSettings loaded;
+        loaded.text = model::ReadSettingsFile(m_settings_path);
+        loaded.settings =
+            ParseEntrySettings(loaded.text, m_settings_path, &loaded.warnings);
+        return loaded;
+      } catch (const model::ValidationError& error) {
+        if (Now() >= deadline) {
+          throw;
+        }
+        if (std::exchange(is_first_attempt, false)) {
+          telemetry::Log(telemetry::LogLevel::kWarning, "daemon",
+                         "waiting for valid settings",
+                         {{"reason", error.what()}});
+        }
+      }
+      if (!WaitUntil(Now() + kSettingsAttemptInterval)) {
+        return std::nullopt;
+      }
+    }
+  }
+
   // Returns false if a signal asks the process to stop.
   bool WaitUntil(SteadyTime deadline) {
     if (!m_wait) {
--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -137,11 +137,12 @@
 
 EntryDaemon::EntryDaemon(boost::asio::io_context* context,
                          const std::string& settings_path,
+                         const std::string& settings_text,
                          const EntrySettings& settings,
                          EntryPlatform platform)
     : m_context(context),
       m_settings_path(settings_path),
-      m_settings_text(model::ReadSettingsFile(settings_path)),
+      m_settings_text(settings_text),
       m_settings(settings),
       m_platform(std::move(platform)),
       m_components(std::make_unique<Components>(context,
@@ -302,7 +303,7 @@
     telemetry::Log(telemetry::LogLevel::kInfo, "daemon", "settings reloaded",
                    {{"seeds", std::to_string(m_settings.seeds.size())},
                     {"needs_restart", needs_restart ? "yes" : "no"}});
-  } catch (const model::ValidationError& error) {
+  } catch (const std::exception& error) {
     telemetry::Log(telemetry::LogLevel::kError, "daemon",
                    "settings refused, the old ones stay",
                    {{"reason", error.what()}});
@@ -319,7 +320,7 @@
     if (model::ReadSettingsFile(m_settings_path) != m_settings_text) {
       Reload();
     }
-  } catch (const model::ValidationError& error) {
+  } catch (const std::exception& error) {
     telemetry::Log(telemetry::LogLevel::kWarning, "daemon",
                    "settings file can't be read, the old ones stay",
                    {{"reason", error.what()}});
--- a/src/libs/entry/entry_daemon.h
+++ b/src/libs/entry/entry_daemon.h
@@ -24,9 +24,11 @@
 // a packet takes microseconds, less than waking up another thread would.
 class EntryDaemon {
  public:
-  // Reloads `settings_path` on SIGHUP and when the file changes.
+  // Reloads `settings_path`, which contained `settings_text`, on SIGHUP and
+  // when the file changes.
   EntryDaemon(boost::asio::io_context* context,
               const std::string& settings_path,
+              const std::string& settings_text,
               const EntrySettings& settings,
               EntryPlatform platform);
   ~EntryDaemon();
--- a/tests/auto/process/tst_start.cc
+++ b/tests/auto/process/tst_start.cc
@@ -318,5 +318,75 @@
   CHECK(WaitForLine(daemon(), {"key=peers.seeds", "value=nowhere:1"}));
 }
 
+TEST_CASE_METHOD(StartFixture,
+                 "A daemon starts with settings that are completed after its "
+                 "start") {
+  const std::string complete = Settings("1.1", "1.1");
+  const std::string early =
+      GENERATE_COPY(std::string(), complete.substr(0, 30),
+                    complete.substr(0, complete.find("[store]")));
+  daemon().next_options().settings_text = early;
+  daemon().Start();
+  RunFor(300ms);
+  std::ofstream(directory() / "front-regina-1.ini") << complete;
+  CHECK(WaitUntilReady(daemon(), 5s));
+  CHECK(CountLines(daemon(), {"waiting for valid settings"}) == 1);
+}
+
+TEST_CASE_METHOD(StartFixture,
+                 "A daemon starts with settings that appear after its start") {
+  std::array<int, 2> pipe_ends{};
+  REQUIRE(::pipe2(pipe_ends.data(), O_CLOEXEC) == 0);
+  soak::EntryProcessOptions& options = daemon().next_options();
+  options.directory = directory() / "later";
+  options.environment.output = pipe_ends[1];
+  daemon().Start();
+  RunFor(300ms);
+  std::filesystem::create_directories(options.directory);
+  std::ofstream(options.directory + "/front-regina-1.ini")
+      << Settings("1.1", "1.1");
+  CHECK(WaitUntilReady(daemon(), 5s));
+  ::close(pipe_ends[0]);
+  ::close(pipe_ends[1]);
+}
+
+TEST_CASE_METHOD(StartFixture,
+                 "Settings that stay invalid end the start with file, key and "
+                 "reason") {
+  daemon().next_options().settings_text = "[host]\nname = front\n";
+  daemon().Start();
+  CHECK(RunAndDescribe(daemon(), 1s) == "running");
+  CHECK(RunAndDescribe(daemon(), 5s) == "exit 1");
+  CHECK(CountLines(daemon(), {"front-regina-1.ini", "host.failure_domain",
+                              "is required"}) == 2);
+}
+
+TEST_CASE_METHOD(StartFixture, "A signal ends the wait for valid settings") {
+  daemon().next_options().settings_text = "";
+  daemon().Start();
+  REQUIRE(WaitForLine(daemon(), {"waiting for valid settings"}, 1s));
+  daemon().Signal(SIGTERM);
+  CHECK(RunAndDescribe(daemon(), 1s) == "exit 0");
+}
+
+TEST_CASE_METHOD(
+    StartFixture,
+    "Settings that are half written while the daemon runs are taken "
+    "over once they are complete") {
+  daemon().Start();
+  REQUIRE(WaitUntilReady(daemon()));
+  const auto file = directory() / "front-regina-1.ini";
+  std::string settings = Settings("1.1", "1.1");
+  std::ofstream(file) << settings.substr(0, 30);
+  daemon().Signal(SIGHUP);
+  CHECK(WaitForLine(daemon(), {"settings refused, the old ones stay"}));
+  settings.replace(settings.find("[store]\n"), 8,
+                   "seeds = 127.22.1.2:18166,127.22.1.3:18166\n[store]\n");
+  std::ofstream(file) << settings;
+  // The file is compared every 5 s.
+  CHECK(WaitForLine(daemon(), {"settings reloaded", "seeds=2"}, 8s));
+  CHECK(IsReady(daemon()));
+}
+
 }  // namespace
 }  // namespace poplarsail::process
