--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -67,8 +67,10 @@
       : log(STDOUT_FILENO),
         steering(MakePlacement(settings, &placement)),
         packets(context, settings, codec, &steering),
-        readiness(context, settings.readiness),
-        metrics(context, {settings.packets.address, settings.metrics_port}),
+        readiness(context, "readiness", settings.readiness),
+        metrics(context,
+                "metrics",
+                {settings.packets.address, settings.metrics_port}),
         retry_gate(context),
         peer_socket(context,
                     {settings.peers.address, settings.failure_report_port}),
@@ -136,11 +138,12 @@
 
 EntryDaemon::EntryDaemon(boost::asio::io_context* context,
                          const std::string& settings_path,
+                         const std::string& settings_text,
                          const EntrySettings& settings,
                          EntryPlatform platform)
     : m_context(context),
       m_settings_path(settings_path),
-      m_settings_text(model::ReadSettingsFile(settings_path)),
+      m_settings_text(settings_text),
       m_settings(settings),
       m_platform(std::move(platform)),
       m_components(std::make_unique<Components>(context,
@@ -290,8 +293,10 @@
 void EntryDaemon::Reload() {
   try {
     m_settings_text = model::ReadSettingsFile(m_settings_path);
+    SettingWarnings warnings;
     const EntrySettings loaded =
-        ParseEntrySettings(m_settings_text, m_settings_path);
+        ParseEntrySettings(m_settings_text, m_settings_path, &warnings);
+    LogSettingWarnings(warnings);
     EntrySettings reloadable = m_settings;
     reloadable.seeds = loaded.seeds;
     reloadable.linger = loaded.linger;
@@ -303,7 +308,7 @@
     telemetry::Log(telemetry::LogLevel::kInfo, "daemon", "settings reloaded",
                    {{"seeds", std::to_string(m_settings.seeds.size())},
                     {"needs_restart", needs_restart ? "yes" : "no"}});
-  } catch (const model::ValidationError& error) {
+  } catch (const std::exception& error) {
     telemetry::Log(telemetry::LogLevel::kError, "daemon",
                    "settings refused, the old ones stay",
                    {{"reason", error.what()}});
@@ -320,7 +325,7 @@
     if (model::ReadSettingsFile(m_settings_path) != m_settings_text) {
       Reload();
     }
-  } catch (const model::ValidationError& error) {
+  } catch (const std::exception& error) {
     telemetry::Log(telemetry::LogLevel::kWarning, "daemon",
                    "settings file can't be read, the old ones stay",
                    {{"reason", error.what()}});
--- a/src/libs/telemetry/log.cc
+++ b/src/libs/telemetry/log.cc
@@ -114,7 +114,7 @@
     return;
   }
   // fmt::print() throws if the line can't be written.
-  std::fputs(line.c_str(), stderr);
+  static_cast<void>(std::fputs(line.c_str(), stderr));
 }
 
 }  // namespace poplarsail::telemetry
