An exception in a handler ends neither the daemon nor a loop

Callers saw: whatever a handler of the event loop threw left EntryDaemon::Run and ended the process with exit 1. An exception of the exchange with peers was swallowed instead and ended it for good.

Cause: no handler caught anything, watchers rethrew in their completion handler, and coroutines were started with asio::detached.

Fix: RunGuarded reports what a handler throws and goes on. The loops that arm themselves again (packets, datagrams of peers, timers, signals, requests, scheduling) guard what they do before they arm; packets, messages and decisions are guarded one by one, so that the rest of a batch is handled. EntryDaemon::Run guards what is left. The log is flushed even if the tick fails. A handler of requests that throws is answered with 500.

--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -4,11 +4,8 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <exception>
 #include <random>
 #include <utility>
 #include <vector>
@@ -18,6 +15,7 @@
 #include "cluster_state/cluster_state.h"
 #include "entry/failure_report_channel.h"
 #include "entry/flow_scheduling.h"
+#include "entry/handler_errors.h"
 #include "entry/http_server.h"
 #include "entry/metrics.h"
 #include "entry/overdue_exchange.h"
@@ -163,7 +161,11 @@
   StartServers();
   StartTimers();
   StartSignals();
-  m_context->run();
+  // Handlers that arm themselves again guard what they do; this is for the
+  // rest.
+  while (!m_context->stopped()) {
+    RunGuarded("daemon", [this]() { m_context->run(); });
+  }
   telemetry::Log(telemetry::LogLevel::kInfo, "daemon", "stopped");
   m_components->log.Flush();
   return 0;
@@ -224,6 +226,7 @@
                         &m_components->peer_exchange->counts()};
   const SchedulingFigures scheduling = m_components->scheduling.figures();
   sources.scheduling = &scheduling;
+  sources.handler_errors = HandlerErrorCount();
   const auto now = std::chrono::steady_clock::now();
   for (const auto& watcher : m_components->store_watchers) {
     sources.store_response_ages.emplace_back(
@@ -241,13 +244,10 @@
         &m_components->version_floor, kind,
         ComputeWatchTiming(m_settings.bounds, kind),
         &m_components->cluster_state, [this]() { OnClusterStateChange(); }));
-    boost::asio::co_spawn(*m_context,
-                          m_components->store_watchers.back()->Run(),
-                          [](const std::exception_ptr& error) {
-                            if (error) {
-                              std::rethrow_exception(error);
-                            }
-                          });
+    SpawnRestarting(m_context, "state",
+                    [watcher = m_components->store_watchers.back().get()]() {
+                      return watcher->Run();
+                    });
   }
 }
 
@@ -261,7 +261,8 @@
   m_components->tick.expires_after(kTickInterval);
   m_components->tick.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
-      OnTick();
+      RunGuarded("daemon", [this]() { OnTick(); });
+      RunGuarded("daemon", [this]() { m_components->log.Flush(); });
       StartTimers();
     }
   });
@@ -274,7 +275,7 @@
           return;
         }
         if (signal == SIGHUP) {
-          Reload();
+          RunGuarded("daemon", [this]() { Reload(); });
         } else if (!m_is_stopping) {
           Stop();
         }
@@ -398,7 +399,6 @@
   m_components->packets.RunDueChecks();
   JudgeUpstreams(now);
   ReloadIfChanged();
-  m_components->log.Flush();
 }
 
 void EntryDaemon::JudgeUpstreams(cluster_state::SteadyTime now) {
@@ -430,7 +430,7 @@
   m_components->stop.expires_at(stop_time);
   m_components->stop.async_wait([this](const boost::system::error_code&) {
     // Packets may be waiting in the socket.
-    m_components->packets.Drain();
+    RunGuarded("packets", [this]() { m_components->packets.Drain(); });
     const auto now = std::chrono::steady_clock::now();
     if (m_stop_policy.StopTime(m_components->packets.last_packet()) > now) {
       StopWhenQuiet();
--- a/src/libs/entry/flow_scheduling_state.cc
+++ b/src/libs/entry/flow_scheduling_state.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <variant>
 
+#include "entry/handler_errors.h"
 #include "telemetry/telemetry.h"
 
 namespace poplarsail::entry {
@@ -256,7 +257,7 @@
 
 void FlowScheduling::State::ExecuteDecisions() {
   for (const Decision& decision : std::exchange(decisions, {})) {
-    ExecuteDecision(decision);
+    RunGuarded("scheduling", [&]() { ExecuteDecision(decision); });
   }
   ScheduleTimers();
 }
@@ -318,7 +319,7 @@
       return;
     }
     alarm.expiry.reset();
-    (*state.*handler)();
+    RunGuarded("scheduling", [&]() { (*state.*handler)(); });
     state->ScheduleTimers();
   });
 }
--- a/src/libs/entry/http_server.cc
+++ b/src/libs/entry/http_server.cc
@@ -5,6 +5,8 @@
 #include <boost/beast/http.hpp>
 #include <utility>
 
+#include "entry/handler_errors.h"
+
 namespace poplarsail::entry {
 
 namespace {
@@ -43,7 +45,9 @@
     }
     AcceptNext();
     if (!error) {
-      ReadNext(std::make_shared<Connection>(std::move(socket)));
+      RunGuarded("http", [&]() {
+        ReadNext(std::make_shared<Connection>(std::move(socket)));
+      });
     }
   });
 }
@@ -57,8 +61,10 @@
         if (read_error) {
           return;
         }
-        HttpResponse result =
-            Dispatch(std::string(connection->request.target()));
+        HttpResponse result{500, ""};
+        RunGuarded("http", [&]() {
+          result = Dispatch(std::string(connection->request.target()));
+        });
         connection->response = {};
         connection->response.result(result.status);
         connection->response.keep_alive(connection->request.keep_alive());
--- a/src/libs/entry/metrics.cc
+++ b/src/libs/entry/metrics.cc
@@ -131,6 +131,9 @@
       {"poplarsail_store_unusable_eras_total",
        "Responses of the store that were not used because of their era.",
        sources.store->unusable_eras},
+      {"poplarsail_handler_errors_total",
+       "Exceptions that handlers of the event loop have thrown.",
+       sources.handler_errors},
   };
   std::vector<MetricFamily> families;
   for (const Row& row : rows) {
--- a/src/libs/entry/metrics.h
+++ b/src/libs/entry/metrics.h
@@ -26,6 +26,7 @@
       store_response_ages;
   // nullptr if flows are not scheduled.
   const SchedulingFigures* scheduling = nullptr;
+  uint64_t handler_errors = 0;
 };
 
 // Returns all metrics in the Prometheus text format.
--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -9,6 +9,7 @@
 
 #include <fmt/format.h>
 
+#include "entry/handler_errors.h"
 #include "telemetry/telemetry.h"
 
 namespace poplarsail::entry {
@@ -97,7 +98,8 @@
                             if (error) {
                               return;
                             }
-                            ReceivePackets();
+                            RunGuarded("packets",
+                                       [this]() { ReceivePackets(); });
                             WaitForPackets();
                           });
 }
@@ -147,7 +149,7 @@
     const auto datagrams = m_socket.Receive();
     m_last_packet = datagrams.empty() ? m_last_packet : now;
     for (const std::span<const uint8_t> datagram : datagrams) {
-      HandlePacket(datagram, now);
+      RunGuarded("packets", [&]() { HandlePacket(datagram, now); });
     }
     Flush();
     if (datagrams.size() < kReceiveBatchSize) {
@@ -171,8 +173,8 @@
       return;
     }
     // Responses may already be queued in the socket: read them first.
-    ReceivePackets();
-    HandleResponseTimeouts();
+    RunGuarded("packets", [this]() { ReceivePackets(); });
+    RunGuarded("packets", [this]() { HandleResponseTimeouts(); });
     m_response_timer_expiry.reset();
     ScheduleResponseTimeouts();
   });
@@ -346,7 +348,7 @@
   const std::deque<HeldPacket> held = std::exchange(m_held_packets, {});
   for (const HeldPacket& packet : held) {
     if (now < packet.deadline) {
-      HandlePacket(packet.datagram, now);
+      RunGuarded("packets", [&]() { HandlePacket(packet.datagram, now); });
     }
   }
   Flush();
--- a/src/libs/entry/peer_exchange.cc
+++ b/src/libs/entry/peer_exchange.cc
@@ -1,8 +1,6 @@
 #include "entry/peer_exchange.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -14,6 +12,7 @@
 #include <fmt/format.h>
 
 #include "entry/cluster_state_codec.h"
+#include "entry/handler_errors.h"
 #include "telemetry/telemetry.h"
 
 namespace poplarsail::entry {
@@ -57,7 +56,7 @@
   m_head_start_deadline = now + kStoreHeadStart;
   m_startup_end = now + kStartupPeriod;
   m_server.Start();
-  asio::co_spawn(*m_context, Run(), asio::detached);
+  SpawnRestarting(m_context, "peers", [this]() { return Run(); });
 }
 
 void PeerExchange::set_seeds(std::vector<model::Endpoint> seeds) {
@@ -73,7 +72,7 @@
     for (size_t i = 0; i < count; ++i) {
       const model::Endpoint peer = NextPeer();
       if (peer.port != 0 && peer != m_options.own_endpoint) {
-        asio::co_spawn(*m_context, QueryPeer(peer), asio::detached);
+        SpawnGuarded(m_context, "peers", QueryPeer(peer));
       }
     }
     m_timer.expires_after(NextQueryDelay());
@@ -117,7 +116,13 @@
     co_return;
   }
   m_is_fetching = true;
-  const auto body = co_await Get(peer, MakeQueryTarget(false));
+  std::optional<std::string> body;
+  try {
+    body = co_await Get(peer, MakeQueryTarget(false));
+  } catch (...) {
+    m_is_fetching = false;
+    throw;
+  }
   m_is_fetching = false;
   if (body) {
     Merge(peer, *body);
@@ -131,7 +136,7 @@
 void PeerExchange::QueryIfNewer(const model::Endpoint& peer,
                                 const KnownVersions& known) {
   if (m_cluster_state->IsComplete() && IsConfigurationNewer(known)) {
-    asio::co_spawn(*m_context, FetchChanges(peer), asio::detached);
+    SpawnGuarded(m_context, "peers", FetchChanges(peer));
   }
 }
 
--- a/src/libs/entry/peer_socket.cc
+++ b/src/libs/entry/peer_socket.cc
@@ -5,6 +5,8 @@
 #include <optional>
 #include <utility>
 
+#include "entry/handler_errors.h"
+
 namespace poplarsail::entry {
 
 namespace {
@@ -93,7 +95,9 @@
   // A single batch, so that many messages do not delay the packets of flows.
   const auto datagrams = m_socket.Receive();
   for (size_t i = 0; i < datagrams.size(); ++i) {
-    Dispatch(ToIpv4Endpoint(m_socket.SenderOf(i)), datagrams[i]);
+    RunGuarded("peers", [&]() {
+      Dispatch(ToIpv4Endpoint(m_socket.SenderOf(i)), datagrams[i]);
+    });
   }
 }
 
--- a/tests/auto/entry/tst_metrics.cc
+++ b/tests/auto/entry/tst_metrics.cc
@@ -49,7 +49,9 @@
                                           &store,
                                           &peers,
                                           {{"upstreams", 2'500ms}},
-                                          &scheduling});
+                                          &scheduling,
+                                          6});
+  CHECK_THAT(text, Contains("poplarsail_handler_errors_total 6"));
   CHECK_THAT(text,
              Contains("poplarsail_packets_total{reason=\"no-upstream\"} 7"));
   CHECK_THAT(text,
