Idle connections of strangers don't use up the descriptors

Callers saw: with a limit of 64 descriptors and 100 idle connections to /metrics, or to the readiness check itself, the daemon used 0.7 to 0.8 of a core and didn't answer the readiness check until they closed.

Cause: each connection was kept for 30 s whatever their number; accept failed with EMFILE then, and was tried again at once, for ever.

Fix: a server keeps an eighth of the descriptors that the process may open, 4 to 128; a further connection replaces the one that has been without a request for longest. A stranger's idle connection can thus not keep out a readiness check, and three servers leave more than half of the descriptors to the store, checks and queries. After an error of accept the server waits for 100 ms.

Evidence, tst_process_strangers, before: processor time in 2 s "1430ms < 400ms" (metrics) and "1530ms < 400ms" (readiness), "CHECK( IsReady(daemon()) ) false" in both. After: both pass.

--- a/src/libs/entry/http_server.cc
+++ b/src/libs/entry/http_server.cc
@@ -1,5 +1,7 @@
 #include "entry/http_server.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -19,11 +21,23 @@
 
 }  // namespace
 
+size_t ConnectionLimit() {
+  rlimit files{};
+  if (::getrlimit(RLIMIT_NOFILE, &files) != 0) {
+    return kMinConnections;
+  }
+  return std::clamp<size_t>(files.rlim_cur / kDescriptorsPerConnection,
+                            kMinConnections, kMaxConnections);
+}
+
 struct HttpServer::Connection {
   explicit Connection(boost::asio::ip::tcp::socket socket)
       : stream(std::move(socket)) {}
 
   beast::tcp_stream stream;
+  // Its position in the list of connections, if it is in the list.
+  bool is_kept = false;
+  std::list<std::shared_ptr<Connection>>::iterator position;
   beast::flat_buffer buffer;
   http::request<http::empty_body> request;
   http::response<http::string_body> response;
@@ -31,7 +45,8 @@
 
 HttpServer::HttpServer(boost::asio::io_context* context,
                        const model::Endpoint& endpoint)
-    : m_acceptor(*context, {endpoint.address, endpoint.port}) {}
+    : m_acceptor(*context, {endpoint.address, endpoint.port}),
+      m_accept_pause(*context) {}
 
 void HttpServer::AddHandler(const std::string& path, Handler handler) {
   m_handlers[path] = std::move(handler);
@@ -43,24 +58,59 @@
     if (error == boost::asio::error::operation_aborted) {
       return;
     }
+    if (error) {
+      PauseAccepting();
+      return;
+    }
+    RunGuarded("http", [&]() {
+      auto connection = std::make_shared<Connection>(std::move(socket));
+      Keep(connection);
+      ReadNext(connection);
+    });
     AcceptNext();
+  });
+}
+
+void HttpServer::PauseAccepting() {
+  m_accept_pause.expires_after(kAcceptPause);
+  m_accept_pause.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
-      RunGuarded("http", [&]() {
-        ReadNext(std::make_shared<Connection>(std::move(socket)));
-      });
+      AcceptNext();
     }
   });
 }
 
+void HttpServer::Keep(const std::shared_ptr<Connection>& connection) {
+  // The limit of open files may be lowered while the process runs.
+  while (m_connections.size() >= kMinConnections &&
+         m_connections.size() >= ConnectionLimit()) {
+    const std::shared_ptr<Connection> longest_idle = m_connections.front();
+    m_connections.pop_front();
+    longest_idle->is_kept = false;
+    longest_idle->stream.close();
+  }
+  connection->position = m_connections.insert(m_connections.end(), connection);
+  connection->is_kept = true;
+}
+
+void HttpServer::Remove(const std::shared_ptr<Connection>& connection) {
+  if (std::exchange(connection->is_kept, false)) {
+    m_connections.erase(connection->position);
+  }
+}
+
 void HttpServer::ReadNext(const std::shared_ptr<Connection>& connection) {
   connection->request = {};
   connection->stream.expires_after(kIdleTimeout);
   http::async_read(
       connection->stream, connection->buffer, connection->request,
       [this, connection](const beast::error_code& read_error, size_t) {
-        if (read_error) {
+        if (read_error || !connection->is_kept) {
+          Remove(connection);
           return;
         }
+        m_connections.splice(m_connections.end(), m_connections,
+                             connection->position);
         HttpResponse result{500, ""};
         RunGuarded("http", [&]() {
           result = Dispatch(std::string(connection->request.target()));
@@ -73,8 +123,11 @@
         http::async_write(
             connection->stream, connection->response,
             [this, connection](const beast::error_code& write_error, size_t) {
-              if (!write_error && connection->response.keep_alive()) {
+              if (!write_error && connection->is_kept &&
+                  connection->response.keep_alive()) {
                 ReadNext(connection);
+              } else {
+                Remove(connection);
               }
             });
       });
--- a/src/libs/entry/http_server.h
+++ b/src/libs/entry/http_server.h
@@ -3,7 +3,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstddef>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,7 +24,20 @@
 
 using transport::HttpQuery;
 
-// Serves requests on one address with a handler per path.
+// A server keeps this part of the file descriptors that the process may open,
+// and at most kMaxConnections, so that three servers leave more than half of
+// them to the store, the checks of upstreams and the queries to other hosts.
+inline constexpr size_t kDescriptorsPerConnection = 8;
+inline constexpr size_t kMinConnections = 4;
+inline constexpr size_t kMaxConnections = 128;
+// After a connection could not be accepted the server pauses for this long.
+inline constexpr std::chrono::milliseconds kAcceptPause{100};
+
+// Returns how many connections a server keeps under the limit of open files.
+size_t ConnectionLimit();
+
+// Serves requests on one address with a handler per path. A connection above
+// the limit replaces the one that has been without a request for longest.
 class HttpServer {
  public:
   using Handler = std::function<HttpResponse(const HttpQuery& query)>;
@@ -34,10 +51,16 @@
  private:
   struct Connection;
   void AcceptNext();
+  void PauseAccepting();
+  void Keep(const std::shared_ptr<Connection>& connection);
+  void Remove(const std::shared_ptr<Connection>& connection);
   void ReadNext(const std::shared_ptr<Connection>& connection);
   HttpResponse Dispatch(const std::string& target) const;
 
   boost::asio::ip::tcp::acceptor m_acceptor;
+  boost::asio::steady_timer m_accept_pause;
+  // The one without a request for longest is first.
+  std::list<std::shared_ptr<Connection>> m_connections;
   std::map<std::string, Handler> m_handlers;
 };
 
