A host without descriptors doesn't take upstreams for dead

Callers would see: a host that has used up its descriptors (or ports, or memory for sockets) can't open a connection, takes that for an upstream without response, and once its attempts have failed at once, without any time passing, ends the flows of an upstream that is alive.

Cause: each error of connect but a refusal counted as "no response". Without a reference upstream nothing else was asked.

Fix: errors of this host itself make the check inconclusive.

Evidence, tst_upstream_checker "A host without descriptors does not take upstreams for dead", before: "2 == 3" (kNoResponse instead of kInconclusive) for an upstream that answers. After: passes.

--- a/src/libs/entry/upstream_checker.cc
+++ b/src/libs/entry/upstream_checker.cc
@@ -20,6 +20,23 @@
   std::chrono::steady_clock::time_point deadline;
 };
 
+// Errors of this host prove nothing: it has not sent anything.
+CheckResult ToResult(const boost::system::error_code& error) {
+  namespace errc = boost::system::errc;
+  if (!error) {
+    return CheckResult::kConnected;
+  }
+  if (error == boost::asio::error::connection_refused) {
+    return CheckResult::kRefused;
+  }
+  const bool is_own_error = error == errc::too_many_files_open ||
+                            error == errc::too_many_files_open_in_system ||
+                            error == errc::not_enough_memory ||
+                            error == errc::no_buffer_space ||
+                            error == errc::address_not_available;
+  return is_own_error ? CheckResult::kInconclusive : CheckResult::kNoResponse;
+}
+
 }  // namespace
 
 // State of one check: consecutive attempts, each together with a connection to
@@ -154,10 +171,7 @@
   attempt->socket.async_connect(
       {target.address, target.port},
       [attempt](const boost::system::error_code& error) {
-        const bool is_refused = error == boost::asio::error::connection_refused;
-        attempt->Finish(!error       ? CheckResult::kConnected
-                        : is_refused ? CheckResult::kRefused
-                                     : CheckResult::kNoResponse);
+        attempt->Finish(ToResult(error));
       });
   attempt->timer.expires_at(deadline);
   attempt->timer.async_wait([attempt](const boost::system::error_code& error) {
--- a/tests/auto/entry/tst_upstream_checker.cc
+++ b/tests/auto/entry/tst_upstream_checker.cc
@@ -2,6 +2,10 @@
 
 #include "entry/upstream_checker.h"
 
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -180,6 +184,42 @@
   CHECK(doubts == kConnectAttemptsUnderLoss - 1);
 }
 
+// Opens descriptors until the limit of open files is reached.
+class DescriptorShortage {
+ public:
+  DescriptorShortage() {
+    ::getrlimit(RLIMIT_NOFILE, &m_limit);
+    rlimit low = m_limit;
+    low.rlim_cur = std::min<rlim_t>(low.rlim_cur, 64);
+    ::setrlimit(RLIMIT_NOFILE, &low);
+    for (int fd = ::dup(STDIN_FILENO); fd >= 0; fd = ::dup(STDIN_FILENO)) {
+      m_descriptors.push_back(fd);
+    }
+  }
+  ~DescriptorShortage() {
+    for (const int fd : m_descriptors) {
+      ::close(fd);
+    }
+    ::setrlimit(RLIMIT_NOFILE, &m_limit);
+  }
+
+  DescriptorShortage(const DescriptorShortage&) = delete;
+  DescriptorShortage& operator=(const DescriptorShortage&) = delete;
+
+ private:
+  rlimit m_limit{};
+  std::list<int> m_descriptors;
+};
+
+TEST_CASE("A host without descriptors does not take upstreams for dead") {
+  boost::asio::io_context context;
+  const Port answers(&context, Port::Kind::kAnswers);
+  const Port other(&context, Port::Kind::kAnswers);
+  const DescriptorShortage shortage;
+  CHECK(Check(&context, answers, nullptr) == CheckResult::kInconclusive);
+  CHECK(Check(&context, answers, &other) == CheckResult::kInconclusive);
+}
+
 TEST_CASE("A probe tells whether the upstream accepts a connection") {
   boost::asio::io_context context;
   const Port answers(&context, Port::Kind::kAnswers);
