A flood of packets stops neither the readiness check nor SIGTERM

Callers saw: while packets arrive faster than the host handles them, the daemon answers no readiness check, fires no timer and ignores SIGTERM.

Cause: ReceivePackets read until a batch wasn't full, which never happens then, and the event loop ran nothing else.

Fix: a turn reads 64 batches at the most, more than a socket buffer of the usual size holds, and the wait for the next ones goes behind the other handlers. After a stall the host catches up over several turns: SYNs stay stale and response timeouts wait until the socket is empty. Otherwise a flood delays response timeouts by 20 ms at the most, which is below the delay at which they are dropped.

--- a/src/libs/entry/packet_loop.cc
+++ b/src/libs/entry/packet_loop.cc
@@ -142,22 +142,22 @@
   }
 }
 
-void PacketLoop::ReceivePackets() {
+bool PacketLoop::ReceivePackets() {
   CheckForStall();
   const auto now = std::chrono::steady_clock::now();
-  while (true) {
+  bool is_drained = false;
+  for (size_t i = 0; i < kMaxBatchesPerTurn && !is_drained; ++i) {
     const auto datagrams = m_socket.Receive();
     m_last_packet = datagrams.empty() ? m_last_packet : now;
     for (const std::span<const uint8_t> datagram : datagrams) {
       RunGuarded("packets", [&]() { HandlePacket(datagram, now); });
     }
     Flush();
-    if (datagrams.size() < kReceiveBatchSize) {
-      m_is_catching_up = false;
-      ScheduleResponseTimeouts();
-      return;
-    }
+    is_drained = datagrams.size() < kReceiveBatchSize;
   }
+  m_is_catching_up &= !is_drained;
+  ScheduleResponseTimeouts();
+  return is_drained;
 }
 
 void PacketLoop::ScheduleResponseTimeouts() {
@@ -167,17 +167,27 @@
   }
   m_response_timer_expiry = check;
   m_response_timer.expires_at(*check);
-  m_response_timer.async_wait([this](const boost::system::error_code& error) {
-    if (error) {
-      // The timer was set to an earlier time.
-      return;
-    }
+  m_response_timer.async_wait(
+      [this, expiry = *check](const boost::system::error_code& error) {
+        // The timer may have been set to an earlier time.
+        if (!error) {
+          OnResponseTimer(expiry);
+        }
+      });
+}
+
+void PacketLoop::OnResponseTimer(flows::SteadyTime expiry) {
+  RunGuarded("packets", [&]() {
     // Responses may already be queued in the socket: read them first.
-    RunGuarded("packets", [this]() { ReceivePackets(); });
-    RunGuarded("packets", [this]() { HandleResponseTimeouts(); });
-    m_response_timer_expiry.reset();
-    ScheduleResponseTimeouts();
+    const bool is_drained = ReceivePackets();
+    const bool is_overdue =
+        expiry + kMaxResponseTimeoutDelay <= std::chrono::steady_clock::now();
+    if (is_drained || (is_overdue && !m_is_catching_up)) {
+      HandleResponseTimeouts();
+    }
   });
+  m_response_timer_expiry.reset();
+  ScheduleResponseTimeouts();
 }
 
 void PacketLoop::HandleResponseTimeouts() {
--- a/src/libs/entry/packet_loop.h
+++ b/src/libs/entry/packet_loop.h
@@ -28,6 +28,12 @@
 
 // Datagrams read from the socket in one batch.
 inline constexpr size_t kReceiveBatchSize = 16;
+// Batches read before other handlers get their turn; more than a stall leaves
+// in a socket buffer of the usual size.
+inline constexpr size_t kMaxBatchesPerTurn = 64;
+// Response timeouts are handled this late at the most while packets wait in the
+// socket.
+inline constexpr std::chrono::milliseconds kMaxResponseTimeoutDelay{20};
 // The platform's packets have at most 1,234 bytes.
 inline constexpr size_t kMaxPacketBytes = 1'500;
 // Maximum number of packets held until the cluster state is complete; the
@@ -137,7 +143,9 @@
   void ExecuteLater(const HeldSyn& syn, const flows::Decision& decision);
   void CheckForStall();
   void LogSuppressedRefusals();
-  void ReceivePackets();
+  // Returns whether no packets are left in the socket.
+  bool ReceivePackets();
+  void OnResponseTimer(flows::SteadyTime expiry);
   void HandlePacket(std::span<const uint8_t> datagram, flows::SteadyTime now);
   void Execute(const flows::FlowPacket& packet,
                const flows::Decision& decision,
