A store that answers 410 for ever is asked with pauses

Callers saw: a store that answers each list with status 410 got 10,000 calls a second from one daemon, which used 0.6 to 0.7 of a core. If it served the lists but answered each watch with 410, whole lists followed with hardly a pause.

Cause: a compacted history, and a change of the era, were not counted as a failure; the watcher listed again at once, for ever.

Fix: the first list after a compaction or restore follows at once as before. Further ones without a usable watch between them wait like retries do: 200 ms, doubled up to 1.6 s, half of it jitter.

Evidence, before: tst_process_strangers "A store whose answers are of no use is asked with pauses", status 410: "1420ms < 400ms" and "21309 < 60" calls in 2 s; its other responses (no body, an empty object, revision 0, no length, half a status line, a closed connection) passed. tst_store_watcher "A store whose history is gone after each list is listed in pauses": "300415885ns >= 700ms" for four lists. After: both pass.

--- a/src/libs/entry/store_watcher.cc
+++ b/src/libs/entry/store_watcher.cc
@@ -69,18 +69,29 @@
                      {{"kind", KindToLabel(m_kind)}, {"reason", failure}});
     }
     RecordFailure(failure.c_str());
-    const auto backoff = kInitialRetryDelay * (1 << std::min(m_failures, 10U));
-    const auto max_delay =
-        std::min<cluster_state::milliseconds>(backoff, kMaxRetryDelay);
-    const int64_t half = max_delay.count() / 2;
-    const auto jitter = static_cast<int64_t>(m_random() % (half + 1));
-    co_await m_gate->WaitToRetry(this,
-                                 cluster_state::milliseconds(half + jitter));
+    co_await m_gate->WaitToRetry(this, RetryDelay(m_failures));
+  }
+}
+
+cluster_state::milliseconds StoreWatcher::RetryDelay(uint32_t attempts) {
+  const auto backoff = kInitialRetryDelay * (1 << std::min(attempts, 10U));
+  const auto max_delay =
+      std::min<cluster_state::milliseconds>(backoff, kMaxRetryDelay);
+  const int64_t half = max_delay.count() / 2;
+  const auto jitter = static_cast<int64_t>(m_random() % (half + 1));
+  return cluster_state::milliseconds(half + jitter);
+}
+
+boost::asio::awaitable<void> StoreWatcher::PauseBetweenLists() {
+  // The first one follows at once, so that changes are known in time.
+  if (m_required_lists > 1) {
+    co_await Sleep(RetryDelay(m_required_lists - 1));
   }
 }
 
 boost::asio::awaitable<void> StoreWatcher::ListOrWatch() {
   if (m_watch_version.revision == 0) {
+    co_await PauseBetweenLists();
     co_await List();
     co_await WaitForFloor();
     co_return;
@@ -117,6 +128,7 @@
     co_return;
   }
   Apply(batch, false);
+  m_required_lists = 0;
   m_watch_version = std::max(m_watch_version, batch.version);
   co_await Sleep(m_timing.coalesce_delay);
 }
@@ -178,6 +190,7 @@
 void StoreWatcher::RequireLatestList() {
   m_watch_version = {};
   m_needs_latest_list = true;
+  ++m_required_lists;
 }
 
 void StoreWatcher::RecordFailure(const char* reason) {
--- a/src/libs/entry/store_watcher.h
+++ b/src/libs/entry/store_watcher.h
@@ -65,6 +65,10 @@
   // Waits for a list of the latest data, at most for the coalesce delay.
   boost::asio::awaitable<void> WaitForFloor();
   boost::asio::awaitable<void> Sleep(cluster_state::milliseconds delay);
+  // Waits before a list that follows others without a watch that could be used.
+  boost::asio::awaitable<void> PauseBetweenLists();
+  // Returns the delay after `attempts` attempts in vain, with jitter.
+  cluster_state::milliseconds RetryDelay(uint32_t attempts);
   void Apply(const StateBatch& batch, bool is_list);
   // The next call lists the latest data.
   void RequireLatestList();
@@ -87,6 +91,8 @@
   // The last list may be stale and has not been compared with the floor yet.
   bool m_is_list_unverified = false;
   uint32_t m_failures = 0;
+  // Lists that were required since the last watch that could be used.
+  uint32_t m_required_lists = 0;
   cluster_state::SteadyTime m_call_start;
   cluster_state::SteadyTime m_last_response;
 };
--- a/tests/auto/entry/tst_store_watcher.cc
+++ b/tests/auto/entry/tst_store_watcher.cc
@@ -350,6 +350,24 @@
   fixture.RunScript();
 }
 
+TEST_CASE("A store whose history is gone after each list is listed in pauses") {
+  WatcherFixture fixture;
+  constexpr int kLists = 4;
+  for (int i = 0; i < kLists; ++i) {
+    fixture.store.Then([](uint64_t) {
+      return StateBatch{{Upstream(1, 5)}, {0, 7}};
+    });
+    fixture.store.Then(
+        [](uint64_t) -> StateBatch { throw objects::CompactedError("gone"); });
+  }
+  const auto start = std::chrono::steady_clock::now();
+  fixture.RunScript();
+  const auto time = std::chrono::steady_clock::now() - start;
+  CHECK(fixture.store.lists == kLists + 1);
+  // The second list follows at once, the pauses before the others are doubled.
+  CHECK(time >= 7 * kInitialRetryDelay);
+}
+
 TEST_CASE("One caller probes the store while the others wait") {
   boost::asio::io_context context;
   RetryGate gate(&context);
--- a/tests/auto/process/tst_strangers.cc
+++ b/tests/auto/process/tst_strangers.cc
@@ -137,5 +137,89 @@
   CHECK(RunAndDescribe(daemon(), 4s) == "exit 0");
 }
 
+// A server that answers each request with the same text, or closes the
+// connection if the text is empty.
+class FixedServer {
+ public:
+  FixedServer(asio::io_context* context,
+              const model::Endpoint& endpoint,
+              std::string response)
+      : m_acceptor(*context, {endpoint.address, endpoint.port}),
+        m_response(std::move(response)) {
+    AcceptNext();
+  }
+
+  int calls() const { return m_calls; }
+
+ private:
+  struct Session {
+    explicit Session(tcp::socket connection) : socket(std::move(connection)) {}
+    tcp::socket socket;
+    std::array<char, 4'096> buffer{};
+  };
+
+  void AcceptNext() {
+    m_acceptor.async_accept(
+        [this](const boost::system::error_code& error, tcp::socket socket) {
+          if (error) {
+            return;
+          }
+          AcceptNext();
+          if (m_response.empty()) {
+            ++m_calls;
+            return;
+          }
+          ReadNext(std::make_shared<Session>(std::move(socket)));
+        });
+  }
+
+  // Each request of the daemon arrives in one piece on loopback.
+  void ReadNext(const std::shared_ptr<Session>& session) {
+    session->socket.async_read_some(
+        asio::buffer(session->buffer),
+        [this, session](const boost::system::error_code& error, size_t) {
+          if (error) {
+            return;
+          }
+          ++m_calls;
+          asio::async_write(
+              session->socket, asio::buffer(m_response),
+              [this, session](const boost::system::error_code& failure,
+                              size_t) {
+                if (!failure) {
+                  ReadNext(session);
+                }
+              });
+        });
+  }
+
+  tcp::acceptor m_acceptor;
+  std::string m_response;
+  int m_calls = 0;
+};
+
+TEST_CASE_METHOD(StrangersFixture,
+                 "A store whose answers are of no use is asked with pauses") {
+  const std::string response =
+      GENERATE("HTTP/1.1 410 Gone\r\nContent-Length: 2\r\n\r\n{}",
+               "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+               "HTTP/1.1 200 OK\r\nContent-Length: 48\r\n\r\n"
+               "{\"at\":0,\"items\":[],\"events\":[],\"has_more\":false}",
+               "HTTP/1.1 200 OK\r\n\r\n", "HTTP", "");
+  const model::Endpoint endpoint{Address("4.2"), 18'000};
+  const FixedServer store(&context(), endpoint, response);
+  daemon().next_options().store = endpoint;
+  daemon().Start();
+  RunFor(500ms);
+  const int calls_before = store.calls();
+  INFO(response);
+  CHECK(Measure() < kMaxProcessorTime);
+  // Three kinds of objects, each with at most ten calls per second.
+  CHECK(store.calls() - calls_before < 60);
+  CHECK(store.calls() > 0);
+  CHECK(RunAndDescribe(daemon(), 10ms) == "running");
+}
+
 }  // namespace
 }  // namespace poplarsail::process
