A peer that states a huge fleet doesn't end the exchange with peers

Callers would see: a host that got a response with a "host_count" of four thousand million waits for it times 20 ms, which is years, until its next query to its peers, and takes the number for the size of its fleet. Any stranger can make a host query it, by a query that names its address.

Cause: the number was used as it came.

Fix: it counts up to one more than the number of peers that a host remembers, 4097, which is 82 s.

Evidence, tst_peer_exchange "A peer that states a huge fleet does not end the exchange", before: " == 4097". After: passes.

--- a/src/libs/entry/peer_exchange.cc
+++ b/src/libs/entry/peer_exchange.cc
@@ -195,6 +195,8 @@
                    {{"peer", model::ToString(peer)}, {"reason", error.what()}});
     return std::nullopt;
   }
+  // A host counts itself and those that it knows.
+  fleet.host_count = std::min<uint32_t>(fleet.host_count, kMaxKnownPeers + 1);
   if (fleet.host_count > 0) {
     m_host_count = fleet.host_count;
     m_options.on_fleet_view(fleet);
--- a/tests/auto/entry/tst_peer_exchange.cc
+++ b/tests/auto/entry/tst_peer_exchange.cc
@@ -7,6 +7,8 @@
 #include <memory>
 #include <optional>
 
+#include "entry/cluster_state_codec.h"
+
 namespace poplarsail::entry {
 namespace {
 
@@ -266,5 +268,30 @@
   CHECK(seed.exchange->counts().full_states_sent == hosts.size());
 }
 
+TEST_CASE("A peer that states a huge fleet does not end the exchange") {
+  boost::asio::io_context context;
+  const uint16_t peer_port = FreePort(&context);
+  HttpServer peer(&context, Loopback(peer_port));
+  int queries = 0;
+  peer.AddHandler("/belief", [&queries](const HttpQuery&) {
+    ++queries;
+    FleetView fleet;
+    fleet.host_count = 4'000'000'000;
+    return HttpResponse{200, EncodeClusterState(nullptr, {}, fleet, kNow)};
+  });
+  peer.Start();
+  Host host(&context, FreePort(&context), {Loopback(peer_port)});
+  Complete(&host.cluster_state);
+  const auto deadline =
+      std::chrono::steady_clock::now() + std::chrono::seconds(4);
+  // The interval between queries grows with the number of hosts.
+  while (host.fleet.host_count == 0 &&
+         std::chrono::steady_clock::now() < deadline) {
+    context.run_one_for(std::chrono::milliseconds(10));
+  }
+  CHECK(queries == 1);
+  CHECK(host.fleet.host_count == kMaxKnownPeers + 1);
+}
+
 }  // namespace
 }  // namespace poplarsail::entry
