Test that random flows and silent readers don't fill the memory

A flood of SYNs of random flows for 2 s and 1,500 connections, 500 to each server, that send up to 100 requests each and read nothing: the daemon gets ready again within 2 s and stays below the 128 MB of the soak.

--- a/tests/auto/process/tst_strangers.cc
+++ b/tests/auto/process/tst_strangers.cc
@@ -23,6 +23,8 @@
 
 constexpr int kNetwork = 24;
 constexpr uint16_t kMetricsPort = 18'169;
+constexpr uint16_t kReadinessPort = 18'167;
+constexpr uint16_t kPeersPort = 18'166;
 constexpr rlim_t kFewDescriptors = 64;
 constexpr auto kMeasurement = 2'000ms;
 // A fifth of a core.
@@ -95,7 +97,7 @@
  private:
   static constexpr auto kDuration = 8s;
   static constexpr uint32_t kThreads = 3;
-  static constexpr size_t kPackets = 4'096;
+  static constexpr size_t kPackets = 65'536;
 
   void Run(const model::Endpoint& receiver, uint32_t seed) {
     asio::io_context context;
@@ -116,6 +118,9 @@
       for (const std::vector<uint8_t>& packet : packets) {
         boost::system::error_code ignored;
         socket.send(asio::buffer(packet), 0, ignored);
+        if (m_is_stopping) {
+          return;
+        }
       }
     }
   }
@@ -137,6 +142,40 @@
   CHECK(RunAndDescribe(daemon(), 4s) == "exit 0");
 }
 
+TEST_CASE_METHOD(StrangersFixture,
+                 "Random flows and silent readers do not fill the memory") {
+  constexpr int kConnectionsPerServer = 500;
+  constexpr uint64_t kMaxResidentBytes = 128 << 20;
+  rlimit files{};
+  REQUIRE(::getrlimit(RLIMIT_NOFILE, &files) == 0);
+  files.rlim_cur = files.rlim_max;
+  REQUIRE(::setrlimit(RLIMIT_NOFILE, &files) == 0);
+  daemon().Start();
+  REQUIRE(WaitUntilReady(daemon()));
+  std::vector<tcp::socket> readers;
+  for (const auto& [port, path] :
+       {std::pair(kMetricsPort, "/metrics"), std::pair(kReadinessPort, "/"),
+        std::pair(kPeersPort, "/belief")}) {
+    const std::string request =
+        fmt::format("GET {} HTTP/1.1\r\nHost: entry\r\n\r\n", path);
+    for (tcp::socket& reader :
+         Connect({Address("1.1"), port}, kConnectionsPerServer)) {
+      boost::system::error_code ignored;
+      reader.non_blocking(true, ignored);
+      for (int i = 0; i < 100 && !ignored; ++i) {
+        reader.send(asio::buffer(request), 0, ignored);
+      }
+      readers.push_back(std::move(reader));
+    }
+  }
+  {
+    const Flood flood({Address("1.1"), daemon().options().packet_port});
+    RunFor(2s);
+  }
+  CHECK(WaitUntilReady(daemon(), 2s));
+  CHECK(daemon().ResidentBytes() < kMaxResidentBytes);
+}
+
 // A server that answers each request with the same text, or closes the
 // connection if the text is empty.
 class FixedServer {
