--- a/src/libs/entry/http_server.cc
+++ b/src/libs/entry/http_server.cc
@@ -1,10 +1,13 @@
 #include "entry/http_server.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <utility>
 
+#include "entry/handler_errors.h"
 #include "telemetry/telemetry.h"
 
 namespace poplarsail::entry {
@@ -19,11 +22,23 @@
 
 }  // namespace
 
+size_t ConnectionLimit() {
+  rlimit files{};
+  if (::getrlimit(RLIMIT_NOFILE, &files) != 0) {
+    return kMinConnections;
+  }
+  return std::clamp<size_t>(files.rlim_cur / kDescriptorsPerConnection,
+                            kMinConnections, kMaxConnections);
+}
+
 struct HttpServer::Connection {
   explicit Connection(boost::asio::ip::tcp::socket socket)
       : stream(std::move(socket)) {}
 
   beast::tcp_stream stream;
+  // Its position in the list of connections, if it is in the list.
+  bool is_kept = false;
+  std::list<std::shared_ptr<Connection>>::iterator position;
   beast::flat_buffer buffer;
   http::request<http::empty_body> request;
   http::response<http::string_body> response;
@@ -35,7 +50,8 @@
     : m_component(component),
       m_endpoint(endpoint),
       m_acceptor(*context),
-      m_retry_timer(*context) {}
+      m_retry_timer(*context),
+      m_accept_pause(*context) {}
 
 void HttpServer::AddHandler(const std::string& path, Handler handler) {
   m_handlers[path] = std::move(handler);
@@ -107,24 +123,63 @@
     if (error == boost::asio::error::operation_aborted) {
       return;
     }
+    if (error) {
+      PauseAccepting();
+      return;
+    }
+    RunGuarded("http", [&]() {
+      auto connection = std::make_shared<Connection>(std::move(socket));
+      Keep(connection);
+      ReadNext(connection);
+    });
     AcceptNext();
+  });
+}
+
+void HttpServer::PauseAccepting() {
+  m_accept_pause.expires_after(kAcceptPause);
+  m_accept_pause.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
-      ReadNext(std::make_shared<Connection>(std::move(socket)));
+      AcceptNext();
     }
   });
 }
 
+void HttpServer::Keep(const std::shared_ptr<Connection>& connection) {
+  // The limit of open files may be lowered while the process runs.
+  while (m_connections.size() >= kMinConnections &&
+         m_connections.size() >= ConnectionLimit()) {
+    const std::shared_ptr<Connection> longest_idle = m_connections.front();
+    m_connections.pop_front();
+    longest_idle->is_kept = false;
+    longest_idle->stream.close();
+  }
+  connection->position = m_connections.insert(m_connections.end(), connection);
+  connection->is_kept = true;
+}
+
+void HttpServer::Remove(const std::shared_ptr<Connection>& connection) {
+  if (std::exchange(connection->is_kept, false)) {
+    m_connections.erase(connection->position);
+  }
+}
+
 void HttpServer::ReadNext(const std::shared_ptr<Connection>& connection) {
   connection->request = {};
   connection->stream.expires_after(kIdleTimeout);
   http::async_read(
       connection->stream, connection->buffer, connection->request,
       [this, connection](const beast::error_code& read_error, size_t) {
-        if (read_error) {
+        if (read_error || !connection->is_kept) {
+          Remove(connection);
           return;
         }
-        HttpResponse result =
-            Dispatch(std::string(connection->request.target()));
+        m_connections.splice(m_connections.end(), m_connections,
+                             connection->position);
+        HttpResponse result{500, ""};
+        RunGuarded("http", [&]() {
+          result = Dispatch(std::string(connection->request.target()));
+        });
         connection->response = {};
         connection->response.result(result.status);
         connection->response.keep_alive(connection->request.keep_alive());
@@ -133,8 +188,11 @@
         http::async_write(
             connection->stream, connection->response,
             [this, connection](const beast::error_code& write_error, size_t) {
-              if (!write_error && connection->response.keep_alive()) {
+              if (!write_error && connection->is_kept &&
+                  connection->response.keep_alive()) {
                 ReadNext(connection);
+              } else {
+                Remove(connection);
               }
             });
       });
--- a/src/libs/entry/http_server.h
+++ b/src/libs/entry/http_server.h
@@ -5,7 +5,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <cstddef>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -25,7 +27,20 @@
 // Interval between attempts to listen on an address that is not available.
 inline constexpr std::chrono::milliseconds kListenRetryInterval{1'000};
 
-// Serves requests on one address with a handler per path.
+// A server keeps this part of the file descriptors that the process may open,
+// and at most kMaxConnections, so that three servers leave more than half of
+// them to the store, the checks of upstreams and the queries to other hosts.
+inline constexpr size_t kDescriptorsPerConnection = 8;
+inline constexpr size_t kMinConnections = 4;
+inline constexpr size_t kMaxConnections = 128;
+// After a connection could not be accepted the server pauses for this long.
+inline constexpr std::chrono::milliseconds kAcceptPause{100};
+
+// Returns how many connections a server keeps under the limit of open files.
+size_t ConnectionLimit();
+
+// Serves requests on one address with a handler per path. A connection above
+// the limit replaces the one that has been without a request for longest.
 class HttpServer {
  public:
   using Handler = std::function<HttpResponse(const HttpQuery& query)>;
@@ -45,6 +60,9 @@
   void RetryLater();
   void LogListenResult(const boost::system::error_code& error);
   void AcceptNext();
+  void PauseAccepting();
+  void Keep(const std::shared_ptr<Connection>& connection);
+  void Remove(const std::shared_ptr<Connection>& connection);
   void ReadNext(const std::shared_ptr<Connection>& connection);
   HttpResponse Dispatch(const std::string& target) const;
 
@@ -54,6 +72,9 @@
   boost::asio::steady_timer m_retry_timer;
   // Result of the last attempt to listen.
   boost::system::error_code m_listen_error;
+  boost::asio::steady_timer m_accept_pause;
+  // The one without a request for longest is first.
+  std::list<std::shared_ptr<Connection>> m_connections;
   std::map<std::string, Handler> m_handlers;
 };
 
--- a/src/libs/entry/metrics.h
+++ b/src/libs/entry/metrics.h
@@ -27,6 +27,7 @@
       store_response_ages;
   // nullptr if flows are not scheduled.
   const SchedulingFigures* scheduling = nullptr;
+  uint64_t handler_errors = 0;
   const telemetry::LogCounts* log = nullptr;
 };
 
--- a/tests/auto/entry/tst_metrics.cc
+++ b/tests/auto/entry/tst_metrics.cc
@@ -51,7 +51,9 @@
                                           &peers,
                                           {{"upstreams", 2'500ms}},
                                           &scheduling,
+                                          6,
                                           &log});
+  CHECK_THAT(text, Contains("poplarsail_handler_errors_total 6"));
   CHECK_THAT(text,
              Contains("poplarsail_packets_total{reason=\"no-upstream\"} 7"));
   CHECK_THAT(text,
