Forget objects and addresses that come and go under ever new names

What callers would see: the memory of each host grows with each new name that a writer creates and removes among the configurations or evacuations, and with each new address of a registration, without end.

Cause: tombstones were purged for upstreams only, and the user of an address was never forgotten.

Why it works: the same retention holds for all kinds, as KnowsChangesSince() already assumes, and a removed evacuation can't be restored by an older source, since its revision is below the listed one. An address whose user is unknown or elsewhere counted as unused before, so forgetting it changes no decision.

--- a/src/libs/cluster_state/cluster_state.cc
+++ b/src/libs/cluster_state/cluster_state.cc
@@ -65,6 +65,9 @@
   if (!is_new && item->second.record.id != entry.value->id) {
     RecordUpstreamChange(entry.name, item->second.record.id);
   }
+  if (!is_new && item->second.record.endpoint != entry.value->endpoint) {
+    ReleaseAddress(entry.name, item->second.record.endpoint);
+  }
   item->second = {*entry.value, entry.revision, false};
   RecordUpstreamChange(entry.name, entry.value->id);
   return true;
@@ -92,10 +95,17 @@
 void ClusterState::MarkListed(ObjectKind kind, const StoreVersion& version) {
   StoreVersion& listed = m_listed_versions[static_cast<size_t>(kind)];
   listed = std::max(listed, version);
-  if (kind == ObjectKind::kUpstreams &&
-      listed.revision > kTombstoneRetentionRevisions) {
-    m_upstream_set.PurgeTombstones(listed.revision -
-                                   kTombstoneRetentionRevisions);
+  if (listed.revision <= kTombstoneRetentionRevisions) {
+    return;
+  }
+  const uint64_t last = listed.revision - kTombstoneRetentionRevisions;
+  switch (kind) {
+    case ObjectKind::kConfiguration:
+      return m_configuration_set.PurgeTombstones(last);
+    case ObjectKind::kUpstreams:
+      return m_upstream_set.PurgeTombstones(last);
+    case ObjectKind::kEvacuations:
+      return m_evacuation_set.PurgeTombstones(last);
   }
 }
 
@@ -231,6 +241,7 @@
     const auto unregistered = m_upstreams.find(item->first);
     if (unregistered != m_upstreams.end()) {
       RecordUpstreamChange(unregistered->first, unregistered->second.record.id);
+      ReleaseAddress(unregistered->first, unregistered->second.record.endpoint);
       m_upstreams.erase(unregistered);
     }
     item = m_removal_deadlines.erase(item);
@@ -270,6 +281,14 @@
   return true;
 }
 
+void ClusterState::ReleaseAddress(const std::string& name,
+                                  const model::Ipv4Endpoint& endpoint) {
+  const auto user = m_address_users.find(endpoint);
+  if (user != m_address_users.end() && user->second == name) {
+    m_address_users.erase(user);
+  }
+}
+
 void ClusterState::RemoveUnregisteredAt(const model::Ipv4Endpoint& endpoint) {
   std::erase_if(m_removal_deadlines, [&](const auto& item) {
     const auto unregistered = m_upstreams.find(item.first);
--- a/src/libs/cluster_state/cluster_state.h
+++ b/src/libs/cluster_state/cluster_state.h
@@ -24,7 +24,7 @@
 // behind has to read all upstreams.
 inline constexpr size_t kMaxChangeHistory = 1'024;
 // Tombstones are purged once they are this many revisions older than the last
-// listed revision of upstreams.
+// listed revision of their kind.
 inline constexpr uint64_t kTombstoneRetentionRevisions = 20'000;
 
 // After a restore of the store, how long an upstream that the copy lacks counts
@@ -148,6 +148,8 @@
   const std::map<std::string, KnownUpstream>& upstreams() const {
     return m_upstreams;
   }
+  // Number of addresses that an upstream is known to use or to have used.
+  size_t address_count() const { return m_address_users.size(); }
   // The newest known revisions of the objects of one kind, with tombstones.
   template <typename Record>
   const VersionedSet<Record>& versioned_set() const;
@@ -206,6 +208,9 @@
   // earlier has stopped. Returns false if the user started later, so that this
   // upstream has stopped itself.
   bool ClaimAddress(const UpstreamEntry& entry, Source source, SteadyTime now);
+  // Forgets that the upstream uses the address, unless another one claimed it.
+  void ReleaseAddress(const std::string& name,
+                      const model::Ipv4Endpoint& endpoint);
   // Removes unregistered upstreams at `endpoint`: an address that is in use
   // again proves that its previous user has stopped.
   void RemoveUnregisteredAt(const model::Ipv4Endpoint& endpoint);
--- a/tests/auto/cluster_state/tst_cluster_state.cc
+++ b/tests/auto/cluster_state/tst_cluster_state.cc
@@ -213,5 +213,45 @@
   CHECK(cluster_state.IsComplete());
 }
 
+// Guards against memory that grows with each new name of another writer.
+TEST_CASE("Objects that come and go under ever new names are forgotten") {
+  constexpr uint64_t kNames = 60'000;
+  ClusterState cluster_state;
+  for (uint64_t i = 1; i <= kNames; ++i) {
+    const std::string name = std::to_string(i);
+    cluster_state.Apply(ClusterState::ConfigurationEntry{name, i, {}}, kStart);
+    cluster_state.Apply(ClusterState::EvacuationEntry{name, i, {}}, kStart);
+    if (i % 1'000 == 0) {
+      cluster_state.MarkListed(ObjectKind::kConfiguration, {0, i});
+      cluster_state.MarkListed(ObjectKind::kEvacuations, {0, i});
+    }
+  }
+  CHECK(cluster_state.versioned_set<Configuration>().entries().size() <=
+        kTombstoneRetentionRevisions);
+  CHECK(cluster_state.versioned_set<Evacuation>().entries().size() <=
+        kTombstoneRetentionRevisions);
+}
+
+TEST_CASE("An address is forgotten with its upstream") {
+  ClusterState cluster_state;
+  SECTION("upstreams come and go") {
+    for (uint64_t id = 1; id <= 100; ++id) {
+      const SteadyTime now = kStart + id * kUnregisteredGracePeriod;
+      cluster_state.Apply(Entry(id, 2 * id), now);
+      cluster_state.Apply(Removed(id, 2 * id + 1), now);
+      cluster_state.RemoveExpired(now + kUnregisteredGracePeriod);
+    }
+    CHECK(cluster_state.address_count() == 0);
+  }
+  SECTION("an upstream changes its address") {
+    for (uint64_t i = 1; i <= 100; ++i) {
+      auto entry = Entry(1, i);
+      entry.value->endpoint.address += static_cast<uint32_t>(i);
+      cluster_state.Apply(entry, kStart);
+    }
+    CHECK(cluster_state.address_count() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace poplarsail::cluster_state
