Large entries of another writer don't fill the memory of a host

What callers saw: with 400 entries of 900 KB among the targets a host passed its memory limit of 260 MB.

Cause: the texts of a registration had no limit, so an entry with a long service or zone was kept with its text, and any entry was parsed whatever its size.

Evidence: tst_process_odd_entries, "Large entries do not fill the memory", a real daemon with 300 such entries at its start and 100 written while it runs.

The stand-in of the store ends a page after 1 MB, as the platform does, and unescapes the query.

--- a/tests/auto/platform/tst_unreadable_entries.cc
+++ b/tests/auto/platform/tst_unreadable_entries.cc
@@ -9,6 +9,7 @@
 
 #include "entry/store_watcher.h"
 #include "objects/objects.h"
+#include "platform/object_decoder.h"
 #include "store_fixture.h"
 
 namespace poplarsail::platform {
@@ -134,5 +135,42 @@
   CHECK(fixture.List().entries.size() == 1);
 }
 
+// Guards against texts that fill the memory of a host.
+TEST_CASE("An entry with an over-long text names no upstream") {
+  const std::string key =
+      GENERATE(as<std::string>(), "service", "zone", "version");
+  nlohmann::json spec = UpstreamSpec("ready");
+  OddEntryFixture fixture;
+  spec[key] = std::string(kMaxTextBytes, 'x');
+  fixture.store.Put("servers", "i-00000001", spec);
+  spec[key] = std::string(kMaxTextBytes + 1, 'x');
+  fixture.store.Put("servers", kOddName, spec);
+  spec = UpstreamSpec("ready");
+  spec["note"] = std::string(kMaxRegistrationBytes, 'x');
+  fixture.store.Put("servers", "i-00d00000", spec);
+  const entry::StateBatch batch = fixture.List();
+  REQUIRE(batch.entries.size() == 3);
+  CHECK(EntryAt(batch, 0).value.has_value());
+  CHECK_FALSE(EntryAt(batch, 1).value.has_value());
+  CHECK_FALSE(EntryAt(batch, 2).value.has_value());
+}
+
+// Guards against requests that the store refuses for their length.
+TEST_CASE("A list continues behind names that are too long") {
+  OddEntryFixture fixture;
+  fixture.store.set_page_size(2);
+  const std::string long_name = std::string(kMaxTextBytes - 1, 'c') + "\u00e9" +
+                                std::string(100'000, 'c');
+  for (const char* end : {"1", "2", "3"}) {
+    fixture.store.Put("servers", long_name + end, UpstreamSpec("ready"));
+  }
+  fixture.store.Put("servers", "a-00000001", UpstreamSpec("ready"));
+  fixture.store.Put("servers", "d-00000001", UpstreamSpec("ready"));
+  const entry::StateBatch batch = fixture.List();
+  REQUIRE(batch.entries.size() == 2);
+  CHECK(EntryAt(batch, 0).name == "a-00000001");
+  CHECK(EntryAt(batch, 1).name == "d-00000001");
+}
+
 }  // namespace
 }  // namespace poplarsail::platform
--- a/tests/auto/process/tst_odd_entries.cc
+++ b/tests/auto/process/tst_odd_entries.cc
@@ -2,8 +2,10 @@
 // store.
 #include <catch2/catch.hpp>
 
-#include <boost/asio/connect.hpp>
+#include <algorithm>
+#include <regex>
 #include <string>
+#include <vector>
 
 #include "process/process_fixture.h"
 
@@ -25,25 +27,25 @@
                                            "regina", state));
   }
 
-  size_t CountInLog(const std::string& text) const {
-    const std::string log = Log(*m_daemon_for_log);
-    size_t count = 0;
-    for (size_t at = log.find(text); at != std::string::npos;
-         at = log.find(text, at + 1)) {
-      ++count;
+  // The last revision of upstreams that the daemon took, in a list or watch.
+  uint64_t TakenRevision() {
+    static const std::regex kLine(
+        "msg=\"(?:list|changes) taken\" kind=upstreams .*revision=(\\d+)");
+    const std::string log = Log(daemon());
+    uint64_t revision = 0;
+    for (auto line = std::sregex_iterator(log.begin(), log.end(), kLine);
+         line != std::sregex_iterator(); ++line) {
+      revision = std::max<uint64_t>(revision, std::stoull((*line)[1]));
     }
-    return count;
+    return revision;
   }
 
   // Whether the daemon takes a drain in time.
   bool FollowsDrain() {
-    const std::string line = "\"changes taken\" kind=upstreams";
-    const size_t before = CountInLog(line);
     PutUpstream("draining");
-    return RunUntil([&]() { return CountInLog(line) > before; }, kDrainBound);
+    const uint64_t revision = store().revision();
+    return RunUntil([&]() { return TakenRevision() >= revision; }, kDrainBound);
   }
-
-  soak::EntryProcess* m_daemon_for_log = &daemon();
 };
 
 // Guards against a system that does not start: after the loss of all hosts none
@@ -65,6 +67,58 @@
   CHECK(FollowsDrain());
 }
 
+// Specs of 900 KB, most of them with all fields of a registration.
+std::vector<std::string> LargeSpecs() {
+  const std::string text(900'000, 'x');
+  std::vector<std::string> specs;
+  for (const char* key : {"service", "zone", "version", "state", "address"}) {
+    nlohmann::json spec = standins::RegistrationSpec(
+        "tally", {0x7f170909, 8'080}, "regina", "ready");
+    spec[key] = text;
+    specs.push_back(spec.dump());
+  }
+  std::string arrays = "[[]";
+  for (size_t i = 0; i < 300'000; ++i) {
+    arrays += ",[]";
+  }
+  specs.push_back(arrays + "]");
+  specs.push_back(text);
+  specs.push_back("\"" + text);
+  return specs;
+}
+
+// Guards against entries that a host keeps, or reads all at once.
+TEST_CASE_METHOD(OddEntriesFixture, "Large entries do not fill the memory") {
+  constexpr int kBefore = 300;
+  constexpr int kMeanwhile = 100;
+  constexpr uint64_t kMaxResidentBytes = 128 << 20;
+  const std::vector<std::string> specs = LargeSpecs();
+  const auto write = [&](int number) {
+    store().PutText("servers", fmt::format("i-00c{:08x}", number),
+                    specs[static_cast<size_t>(number) % specs.size()]);
+  };
+  for (int i = 0; i < kBefore; ++i) {
+    write(i);
+  }
+  daemon().Start();
+  uint64_t max_bytes = 0;
+  const auto measure = [&]() {
+    max_bytes = std::max(max_bytes, daemon().ResidentBytes());
+    return false;
+  };
+  REQUIRE(RunUntil([&]() { return measure() || IsReady(daemon()); }, 20s));
+  for (int i = 0; i < kMeanwhile; ++i) {
+    write(kBefore + i);
+    RunUntil(measure, 20ms);
+  }
+  // Until the changes are taken, in lists if need be.
+  RunUntil(measure, 3s);
+  CHECK(FollowsDrain());
+  measure();
+  CHECK(max_bytes < kMaxResidentBytes);
+  WARN("resident at most " << max_bytes / 1024 << " KiB");
+}
+
 TEST_CASE_METHOD(OddEntriesFixture,
                  "A daemon follows drains past an entry that gets damaged") {
   daemon().Start();
--- a/tests/standins/fake_platform_store.cc
+++ b/tests/standins/fake_platform_store.cc
@@ -1,5 +1,6 @@
 #include "standins/fake_platform_store.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -14,6 +15,9 @@
 using nlohmann::json;
 
 constexpr std::string_view kObjectsPathPrefix = "/-/objects/";
+constexpr std::string_view kPlaceholderPrefix = "spec text ";
+// A page with several objects is not larger.
+constexpr size_t kMaxPageBytes = 1 << 20;
 
 // The parts of "/-/objects/KIND/NAME?key=value&...".
 struct Target {
@@ -22,6 +26,20 @@
   std::map<std::string, std::string> query;
 };
 
+std::string PercentDecode(const std::string& text) {
+  std::string decoded;
+  for (size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%' && i + 2 < text.size()) {
+      decoded +=
+          static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
+      i += 2;
+    } else {
+      decoded += text[i];
+    }
+  }
+  return decoded;
+}
+
 Target ParseTarget(std::string text) {
   Target target;
   const size_t question = text.find('?');
@@ -38,7 +56,8 @@
     query.erase(0, std::min(end + 1, query.size()));
     const size_t equals = item.find('=');
     if (equals != std::string::npos) {
-      target.query[item.substr(0, equals)] = item.substr(equals + 1);
+      target.query[item.substr(0, equals)] =
+          PercentDecode(item.substr(equals + 1));
     }
   }
   return target;
@@ -94,21 +113,42 @@
 uint64_t FakePlatformStore::PutText(const std::string& kind,
                                     const std::string& name,
                                     std::string spec) {
-  const std::string placeholder =
-      "spec text " + std::to_string(m_spec_texts.size()) + ".";
+  const auto found =
+      std::find_if(m_spec_texts.begin(), m_spec_texts.end(),
+                   [&spec](const auto& item) { return item.second == spec; });
+  if (found != m_spec_texts.end()) {
+    return Put(kind, name, found->first);
+  }
+  const std::string placeholder = std::string(kPlaceholderPrefix) +
+                                  std::to_string(m_spec_texts.size()) + ".";
   m_spec_texts[placeholder] = std::move(spec);
   return Put(kind, name, placeholder);
 }
 
-std::string FakePlatformStore::InsertSpecTexts(std::string body) const {
-  for (const auto& [placeholder, text] : m_spec_texts) {
-    const std::string quoted = json(placeholder).dump();
-    for (size_t at = body.find(quoted); at != std::string::npos;
-         at = body.find(quoted, at + text.size())) {
-      body.replace(at, quoted.size(), text);
-    }
+std::string FakePlatformStore::InsertSpecTexts(std::string_view body) const {
+  const std::string begin = "\"" + std::string(kPlaceholderPrefix);
+  std::string inserted;
+  size_t copied = 0;
+  for (size_t at = body.find(begin); at != std::string_view::npos;
+       at = body.find(begin, copied)) {
+    const size_t end = body.find('"', at + 1);
+    const auto found =
+        m_spec_texts.find(std::string(body.substr(at + 1, end - at - 1)));
+    inserted += body.substr(copied, at - copied);
+    inserted += found == m_spec_texts.end() ? body.substr(at, end + 1 - at)
+                                            : found->second;
+    copied = end + 1;
   }
-  return body;
+  return inserted.append(body.substr(copied));
+}
+
+size_t FakePlatformStore::ObjectSize(const json& object) const {
+  const json& spec = object.at("spec");
+  const auto found = spec.is_string()
+                         ? m_spec_texts.find(spec.get<std::string>())
+                         : m_spec_texts.end();
+  return object.dump().size() +
+         (found == m_spec_texts.end() ? 0 : found->second.size());
 }
 
 void FakePlatformStore::Remove(const std::string& kind,
@@ -293,11 +333,15 @@
                 [](const auto& item) { return item.second.is_null(); });
   json items = json::array();
   bool has_more = false;
+  size_t page_bytes = 0;
   for (const auto& [name, object] : objects) {
     if (!after.empty() && name <= after) {
       continue;
     }
-    if (items.size() == m_page_size) {
+    page_bytes += ObjectSize(object);
+    const bool is_full = items.size() == m_page_size ||
+                         (!items.empty() && page_bytes > kMaxPageBytes);
+    if (is_full) {
       has_more = true;
       break;
     }
--- a/tests/standins/fake_platform_store.h
+++ b/tests/standins/fake_platform_store.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -48,7 +49,7 @@
   void set_mode(StoreMode mode) { m_mode = mode; }
   // Lists with "serializable=1" show the state of this long ago.
   void set_list_age(std::chrono::milliseconds age) { m_list_age = age; }
-  // Maximum number of objects per page of a list.
+  // Maximum number of objects per page of a list. A page also ends after 1 MB.
   void set_page_size(size_t size) { m_page_size = size; }
 
   // Write an object on behalf of an operator or an upstream. Put() returns the
@@ -115,7 +116,9 @@
                const nlohmann::json& body);
   void SendResponse(const std::shared_ptr<Session>& session);
   // Replaces the placeholders in a body.
-  std::string InsertSpecTexts(std::string body) const;
+  std::string InsertSpecTexts(std::string_view body) const;
+  // Size of the object as it is served.
+  size_t ObjectSize(const nlohmann::json& object) const;
   void ServeList(const std::shared_ptr<Session>& session,
                  const std::string& kind,
                  const std::string& after,
