Pause between lists that replace watches one after another

What callers would see: while a writer changes more than 8 MiB between two watches, a host lists all objects over and over without a pause, each time at the full price of a call.

Cause: after a watch that a list has to replace, the list and the next watch followed at once, however often.

Evidence: tst_store_watcher, "Watches that are lost one after another are listed with pauses". Without the pause: 0.48 to 0.67 ms between lists, three of three checks failed. After: 122 assertions in 14 cases pass.

--- a/src/libs/entry/store_watcher.cc
+++ b/src/libs/entry/store_watcher.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <exception>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -49,7 +50,7 @@
 
 boost::asio::awaitable<void> StoreWatcher::Run() {
   while (true) {
-    std::string failure;
+    std::optional<std::string> failure;
     try {
       co_await ListOrWatch();
       continue;
@@ -58,7 +59,7 @@
                      "history is gone, listing anew",
                      {{"kind", KindToLabel(m_kind)}, {"reason", error.what()}});
       RequireLatestList();
-      continue;
+      ++m_lost_watches;
     } catch (const objects::ObjectStoreError& error) {
       failure = error.what();
     } catch (const std::exception& error) {
@@ -66,19 +67,29 @@
       failure = error.what();
       telemetry::Log(telemetry::LogLevel::kError, "state",
                      "response of the store can't be applied",
-                     {{"kind", KindToLabel(m_kind)}, {"reason", failure}});
+                     {{"kind", KindToLabel(m_kind)}, {"reason", *failure}});
+    }
+    if (!failure) {
+      // The first list is due at once.
+      if (m_lost_watches > 1) {
+        co_await Sleep(RetryDelay(m_lost_watches - 1));
+      }
+      continue;
     }
-    RecordFailure(failure.c_str());
-    const auto backoff = kInitialRetryDelay * (1 << std::min(m_failures, 10U));
-    const auto max_delay =
-        std::min<cluster_state::milliseconds>(backoff, kMaxRetryDelay);
-    const int64_t half = max_delay.count() / 2;
-    const auto jitter = static_cast<int64_t>(m_random() % (half + 1));
-    co_await m_gate->WaitToRetry(this,
-                                 cluster_state::milliseconds(half + jitter));
+    RecordFailure(failure->c_str());
+    co_await m_gate->WaitToRetry(this, RetryDelay(m_failures));
   }
 }
 
+cluster_state::milliseconds StoreWatcher::RetryDelay(uint32_t failures) {
+  const auto backoff = kInitialRetryDelay * (1 << std::min(failures, 10U));
+  const auto max_delay =
+      std::min<cluster_state::milliseconds>(backoff, kMaxRetryDelay);
+  const int64_t half = max_delay.count() / 2;
+  const auto jitter = static_cast<int64_t>(m_random() % (half + 1));
+  return cluster_state::milliseconds(half + jitter);
+}
+
 boost::asio::awaitable<void> StoreWatcher::ListOrWatch() {
   if (m_watch_version.revision == 0) {
     co_await List();
@@ -104,6 +115,7 @@
   const StateBatch batch =
       co_await m_store->Watch(m_kind, m_watch_version.revision, deadline);
   RecordSuccess();
+  m_lost_watches = 0;
   const uint64_t known_era = m_cluster_state->listed_version(m_kind).era;
   if (batch.version.era != m_watch_version.era ||
       batch.version.era != known_era) {
--- a/src/libs/entry/store_watcher.h
+++ b/src/libs/entry/store_watcher.h
@@ -66,6 +66,7 @@
   boost::asio::awaitable<void> WaitForFloor();
   boost::asio::awaitable<void> Sleep(cluster_state::milliseconds delay);
   void Apply(const StateBatch& batch, bool is_list);
+  cluster_state::milliseconds RetryDelay(uint32_t failures);
   // The next call lists the latest data.
   void RequireLatestList();
   void RecordFailure(const char* reason);
@@ -87,6 +88,8 @@
   // The last list may be stale and has not been compared with the floor yet.
   bool m_is_list_unverified = false;
   uint32_t m_failures = 0;
+  // Watches in a row that a list had to replace.
+  uint32_t m_lost_watches = 0;
   cluster_state::SteadyTime m_call_start;
   cluster_state::SteadyTime m_last_response;
 };
--- a/tests/auto/entry/tst_store_watcher.cc
+++ b/tests/auto/entry/tst_store_watcher.cc
@@ -350,6 +350,32 @@
   fixture.RunScript();
 }
 
+// Guards against lists without a pause, as a writer makes each watch too large.
+TEST_CASE("Watches that are lost one after another are listed with pauses") {
+  constexpr int kLostWatches = 4;
+  WatcherFixture fixture;
+  fixture.floor.Raise({0, 1});
+  std::vector<cluster_state::SteadyTime> lists;
+  for (int i = 0; i <= kLostWatches; ++i) {
+    fixture.store.Then([&lists, i](uint64_t) {
+      lists.push_back(std::chrono::steady_clock::now());
+      return StateBatch{{}, {0, 7 + static_cast<uint64_t>(i)}};
+    });
+    if (i < kLostWatches) {
+      fixture.store.Then([](uint64_t) -> StateBatch {
+        throw objects::CompactedError("too many changes");
+      });
+    }
+  }
+  fixture.RunScript();
+  REQUIRE(lists.size() == kLostWatches + 1);
+  // The first one shows what was missed and is due at once.
+  CHECK(lists[1] - lists[0] < kInitialRetryDelay);
+  for (size_t i = 2; i < lists.size(); ++i) {
+    CHECK(lists[i] - lists[i - 1] >= kInitialRetryDelay);
+  }
+}
+
 TEST_CASE("One caller probes the store while the others wait") {
   boost::asio::io_context context;
   RetryGate gate(&context);
