--- a/tests/auto/process/tst_odd_entries.cc
+++ b/tests/auto/process/tst_odd_entries.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <regex>
 #include <string>
 #include <vector>
@@ -127,5 +128,24 @@
   CHECK(FollowsDrain());
 }
 
+// Guards against the loss of other log lines, whose volume is bounded.
+TEST_CASE_METHOD(OddEntriesFixture, "Many odd entries do not fill the log") {
+  constexpr int kEntries = 2'000;
+  constexpr size_t kMaxLines = 40;
+  for (int i = 0; i < kEntries; ++i) {
+    store().PutText("servers", fmt::format("i-00c{:08x}", i), "not quoted");
+  }
+  daemon().Start();
+  REQUIRE(WaitUntilReady(daemon(), 5s));
+  CHECK(FollowsDrain());
+  RunFor(500ms);
+  const std::string log = Log(daemon());
+  const std::regex line("msg=\"malformed object");
+  const auto count = static_cast<size_t>(
+      std::distance(std::sregex_iterator(log.begin(), log.end(), line), {}));
+  CHECK(count > 0);
+  CHECK(count <= kMaxLines);
+}
+
 }  // namespace
 }  // namespace poplarsail::process
