--- a/tests/standins/platform_objects.cc
+++ b/tests/standins/platform_objects.cc
@@ -52,7 +52,14 @@
           R"({"service":"tally","address":"10.0.0.1:70000","zone":"regina"})",
           fields + R"("v","cold_left_ms":1e308,"slots":18446744073709551615})",
           "null",
-          "not quoted"};
+          "not quoted",
+          fields + "\"v",
+          fields + R"("v\)",
+          fields + R"("v"}})",
+          fields + R"("v"]})",
+          fields + "[[",
+          "{",
+          "\""};
 }
 
 }  // namespace poplarsail::standins
