Guard names and texts of any bytes from the store and from peers

tst_process_odd_entries, "Names and texts of any bytes are taken": a daemon with a page size of 1 gets ready, follows a drain, and each line of its log begins with a time and has no control character. tst_cluster_state_codec, "Names and texts of any bytes are passed on": bytes that are not UTF-8 go from peer to peer.

--- a/tests/auto/entry/tst_cluster_state_codec.cc
+++ b/tests/auto/entry/tst_cluster_state_codec.cc
@@ -50,6 +50,22 @@
   return cluster_state;
 }
 
+// Guards against messages that can't be written for bytes that a peer sent.
+TEST_CASE("Names and texts of any bytes are passed on") {
+  const std::string bytes = std::string("\0\n\x7f\xff\xc0", 5);
+  ClusterState sender = MakeClusterState();
+  cluster_state::UpstreamRecord upstream;
+  upstream.id = 7;
+  upstream.service = bytes;
+  upstream.failure_domain = bytes;
+  sender.Apply(ClusterState::UpstreamEntry{bytes, 10, upstream}, kNow);
+  ClusterState receiver;
+  MergeClusterState(EncodeClusterState(&sender, {}, {}, kNow), &receiver, kNow);
+  ClusterState third;
+  MergeClusterState(EncodeClusterState(&receiver, {}, {}, kNow), &third, kNow);
+  CHECK(third.upstreams().at(bytes).record.service == bytes);
+}
+
 TEST_CASE("A host without state takes over the full state") {
   const ClusterState sender = MakeClusterState();
   ClusterState receiver;
--- a/tests/auto/process/tst_odd_entries.cc
+++ b/tests/auto/process/tst_odd_entries.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <iterator>
 #include <regex>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -116,8 +117,8 @@
   RunUntil(measure, 3s);
   CHECK(FollowsDrain());
   measure();
+  CHECK(max_bytes > 0);
   CHECK(max_bytes < kMaxResidentBytes);
-  WARN("resident at most " << max_bytes / 1024 << " KiB");
 }
 
 TEST_CASE_METHOD(OddEntriesFixture,
@@ -147,5 +148,34 @@
   CHECK(count <= kMaxLines);
 }
 
+// Guards against names and texts that break the log, the metrics or the query
+// of the next page.
+TEST_CASE_METHOD(OddEntriesFixture, "Names and texts of any bytes are taken") {
+  store().set_page_size(1);
+  const std::string bytes = std::string("a\0\n\r\x1b[2J\x7f", 9) +
+                            "&after=z%00#?\"=\\ \u00e9\xf4\x8f\xbf\xbf";
+  for (const std::string& name :
+       {"i-000000000" + bytes, "i-00c0ffee" + bytes}) {
+    store().Put(
+        "servers", name,
+        standins::RegistrationSpec(bytes, {0x7f170902, 8'080}, bytes, "ready"));
+    store().Put("evacuations", name, bytes);
+    store().Put("config", name, bytes);
+    store().PutText("servers", name + "1", bytes);
+  }
+  daemon().Start();
+  REQUIRE(WaitUntilReady(daemon(), 5s));
+  CHECK(FollowsDrain());
+  RunFor(500ms);
+  std::istringstream log(Log(daemon()));
+  std::string line;
+  while (std::getline(log, line)) {
+    CAPTURE(line);
+    CHECK(line.starts_with("time="));
+    CHECK(std::none_of(line.begin(), line.end(),
+                       [](unsigned char c) { return c < ' '; }));
+  }
+}
+
 }  // namespace
 }  // namespace poplarsail::process
