A change as a watch ends no longer crashes the fake of the store

The daemons of such a run stayed, and held the addresses of the runs after it.

The timer of a watch that has expired can no longer be cancelled. If a change answers the watch before the handler of the timer runs, the handler erased it again through an iterator that was no longer valid. The handler now looks for the watch by its number.

--- a/tests/standins/fake_platform_store.cc
+++ b/tests/standins/fake_platform_store.cc
@@ -318,15 +318,18 @@
   if (!events.empty()) {
     return Respond(session, 200, {{"events", events}, {"at", m_revision}});
   }
-  m_watches.push_back({session, kind, from_revision});
-  const auto watch = std::prev(m_watches.end());
+  const uint64_t number = ++m_watch_count;
+  m_watches.push_back({session, kind, from_revision, number});
   session->timer.expires_after(std::chrono::milliseconds(wait_ms));
   session->timer.async_wait(
-      [this, session, watch](const boost::system::error_code& error) {
-        if (error) {
+      [this, session, number](const boost::system::error_code& error) {
+        const auto is_same = [number](const Watch& watch) {
+          return watch.number == number;
+        };
+        // A change may have ended the watch since the timer expired.
+        if (error || std::erase_if(m_watches, is_same) == 0) {
           return;
         }
-        m_watches.erase(watch);
         Respond(session, 200, {{"events", json::array()}, {"at", m_revision}});
       });
 }
--- a/tests/standins/fake_platform_store.h
+++ b/tests/standins/fake_platform_store.h
@@ -105,6 +105,7 @@
     std::shared_ptr<Session> session;
     std::string kind;
     uint64_t from_revision = 0;
+    uint64_t number = 0;
   };
 
   void AcceptNext();
@@ -153,6 +154,7 @@
   uint64_t m_revision = 1;
   uint64_t m_compacted_revision = 0;
   uint64_t m_call_count = 0;
+  uint64_t m_watch_count = 0;
   std::function<void(uint64_t)> m_on_call;
 };
 
