Soak: failure domains of unequal size, and a processor share for each daemon

Pauses by faults and by the share are counted apart (EntryProcess::Hold()), so that the end of a period doesn't end a pause. Each run prints the time that its starts took until the readiness check passed.

--- a/soak/entry_process.cc
+++ b/soak/entry_process.cc
@@ -8,8 +8,8 @@
 #include <array>
 #include <cerrno>
 #include <csignal>
+#include <ctime>
 #include <fstream>
-#include <sstream>
 #include <system_error>
 #include <utility>
 
@@ -105,6 +105,8 @@
     const rlimit value{limit.value, limit.value};
     ::prlimit(m_pid, limit.resource, &value, nullptr);
   }
+  m_started_at = Clock::now();
+  m_holds.clear();
   stop_deadline.reset();
   is_kill_expected = false;
 }
@@ -115,6 +117,19 @@
   }
 }
 
+void EntryProcess::Hold(HoldReason reason) {
+  if (m_holds.empty()) {
+    Signal(SIGSTOP);
+  }
+  m_holds.insert(reason);
+}
+
+void EntryProcess::Release(HoldReason reason) {
+  if (m_holds.erase(reason) > 0 && m_holds.empty()) {
+    Signal(SIGCONT);
+  }
+}
+
 std::optional<int> EntryProcess::Reap() {
   int status = 0;
   if (m_pid <= 0 || ::waitpid(m_pid, &status, WNOHANG) != m_pid) {
@@ -132,21 +147,15 @@
   return resident * static_cast<uint64_t>(::sysconf(_SC_PAGESIZE));
 }
 
-std::chrono::milliseconds EntryProcess::ProcessorTime() const {
-  std::ifstream file(fmt::format("/proc/{}/stat", m_pid));
-  std::string text;
-  std::getline(file, text);
-  // The name of the program, in parentheses, may contain spaces.
-  std::istringstream fields(text.substr(text.rfind(')') + 1));
-  constexpr int kFieldsBeforeUserTime = 11;
-  for (int i = 0; i < kFieldsBeforeUserTime; ++i) {
-    fields >> text;
+std::chrono::nanoseconds EntryProcess::PreciseProcessorTime() const {
+  clockid_t clock{};
+  timespec used{};
+  if (m_pid <= 0 || ::clock_getcpuclockid(m_pid, &clock) != 0 ||
+      ::clock_gettime(clock, &used) != 0) {
+    return std::chrono::nanoseconds(0);
   }
-  int64_t user_ticks = 0;
-  int64_t system_ticks = 0;
-  fields >> user_ticks >> system_ticks;
-  return std::chrono::milliseconds((user_ticks + system_ticks) * 1'000 /
-                                   ::sysconf(_SC_CLK_TCK));
+  return std::chrono::seconds(used.tv_sec) +
+         std::chrono::nanoseconds(used.tv_nsec);
 }
 
 }  // namespace poplarsail::soak
--- a/soak/entry_process.h
+++ b/soak/entry_process.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,9 @@
   std::optional<std::string> settings_text;
 };
 
+// Why a process is stopped for a while.
+enum class HoldReason : uint8_t { kFault, kAllotment };
+
 // A daemon that runs as a child process.
 class EntryProcess {
  public:
@@ -57,14 +61,22 @@
 
   void Start();
   void Signal(int signal);
+  // Stop the process with SIGSTOP until no reason is left.
+  void Hold(HoldReason reason);
+  void Release(HoldReason reason);
   // Options of the next start.
   EntryProcessOptions& next_options() { return m_options; }
   // Returns the wait status if the process has exited.
   std::optional<int> Reap();
   bool is_running() const { return m_pid > 0; }
   uint64_t ResidentBytes() const;
+  Clock::time_point started_at() const { return m_started_at; }
   // Processor time that the process has used.
-  std::chrono::milliseconds ProcessorTime() const;
+  std::chrono::nanoseconds PreciseProcessorTime() const;
+  std::chrono::milliseconds ProcessorTime() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        PreciseProcessorTime());
+  }
 
   const EntryProcessOptions& options() const { return m_options; }
   model::Endpoint readiness() const;
@@ -81,6 +93,8 @@
 
   EntryProcessOptions m_options;
   pid_t m_pid = 0;
+  Clock::time_point m_started_at;
+  std::set<HoldReason> m_holds;
 };
 
 }  // namespace poplarsail::soak
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -1,5 +1,7 @@
 #include <unistd.h>
 
+#include <algorithm>
+#include <chrono>
 #include <cstdlib>
 #include <filesystem>
 #include <string>
@@ -18,6 +20,17 @@
 using poplarsail::soak::ScenarioOptions;
 using poplarsail::soak::ScenarioResult;
 
+void PrintStartTimes(uint64_t seed,
+                     std::vector<std::chrono::milliseconds> times) {
+  if (times.empty()) {
+    return;
+  }
+  std::sort(times.begin(), times.end());
+  fmt::print(stderr, "seed {}: {} starts, ready after {} ms (p50), {} (max)\n",
+             seed, times.size(), times[times.size() / 2].count(),
+             times.back().count());
+}
+
 // Runs one seed in its own directory, which is kept if there are violations.
 ScenarioResult RunSeed(const cxxopts::ParseResult& arguments, uint64_t seed) {
   const auto logs = arguments["logs"].as<std::string>();
@@ -26,7 +39,15 @@
   options.directory = fmt::format("{}/seed-{}", logs, seed);
   options.seed = seed;
   options.network = arguments["network"].as<int>();
-  options.hosts_per_domain = arguments["hosts"].as<int>();
+  options.hosts_in_domains =
+      arguments.count("domains") > 0
+          ? arguments["domains"].as<std::vector<int>>()
+          : std::vector<int>(3, arguments["hosts"].as<int>());
+  const auto upstreams = arguments["upstreams"].as<std::vector<int>>();
+  options.tally_upstreams = upstreams.at(0);
+  options.archive_upstreams = upstreams.at(1);
+  options.flows_per_client = arguments["flows"].as<int>();
+  options.processor_share = arguments["share"].as<double>();
   options.fault_time = std::chrono::seconds(arguments["seconds"].as<int>());
   options.is_planned_only = arguments.count("planned") > 0;
   options.injected_defect = arguments["plant"].as<std::string>();
@@ -37,6 +58,7 @@
       "seed {}: {} faults, {} requests, {} served, {} failed, {} resets\n",
       seed, result.faults, result.counts.requests, result.counts.served,
       result.counts.failed, result.counts.resets);
+  PrintStartTimes(seed, result.start_times);
   for (const auto& [invariant, details] : result.violations) {
     for (const std::string& detail : details) {
       fmt::print(stderr, "seed {}: {}: {}\n", seed, invariant, detail);
@@ -63,6 +85,17 @@
       cxxopts::value<int>()->default_value("12"))(
       "hosts", "Entry hosts in each failure domain",
       cxxopts::value<int>()->default_value("2"))(
+      "domains",
+      "Entry hosts of each failure domain, separated by commas; overrides "
+      "--hosts",
+      cxxopts::value<std::vector<int>>())(
+      "upstreams",
+      "Upstreams of the two services; 0,0 for 2 and 1 in each failure domain",
+      cxxopts::value<std::vector<int>>()->default_value("0,0"))(
+      "flows", "Open flows of each client",
+      cxxopts::value<int>()->default_value("12"))(
+      "share", "Share of a core that each daemon gets; 0 for no limit",
+      cxxopts::value<double>()->default_value("0"))(
       "planned",
       "Only planned work: restarts and changes of what is "
       "configured")(
--- a/soak/scenario.cc
+++ b/soak/scenario.cc
@@ -1,12 +1,8 @@
 #include "soak/scenario.h"
 
-#include <sys/wait.h>
-
 #include <algorithm>
 #include <array>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
-#include <csignal>
+#include <stdexcept>
 #include <utility>
 
 #include <fmt/format.h>
@@ -21,25 +17,21 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr uint16_t kPacketPort = 18'172;
-constexpr std::array<const char*, 3> kDomains = {"regina", "saskatoon",
-                                                 "brandon"};
+constexpr std::array<const char*, 6> kDomainNames = {
+    "regina", "saskatoon", "brandon", "estevan", "melfort", "weyburn"};
 // A host is checked once no fault has affected it for this long.
 constexpr milliseconds kSettleTime{4'000};
-constexpr milliseconds kRecoveryTime{12'000};
-constexpr double kMinRecoverySuccessRatio = 0.9;
-// The memory target of a daemon, control plane included, is 128 MB.
-constexpr uint64_t kMaxResidentBytes = 128 << 20;
-// The fabric probes readiness twice a second and takes a host out of rotation
-// after two failed probes.
-constexpr milliseconds kReadinessInterval{500};
-constexpr int kMaxReadinessMisses = 2;
-constexpr int kFlowsPerClient = 12;
 
 }  // namespace
 
 Scenario::Scenario(ScenarioOptions options)
-    : m_options(std::move(options)), m_random(m_options.seed) {}
+    : m_options(std::move(options)), m_random(m_options.seed) {
+  const size_t domains = m_options.hosts_in_domains.size();
+  if (domains == 0 || domains > kDomainNames.size()) {
+    throw std::invalid_argument("there are 1 to 6 failure domains");
+  }
+  m_domains.assign(kDomainNames.begin(), kDomainNames.begin() + domains);
+}
 
 Scenario::~Scenario() = default;
 
@@ -67,6 +59,7 @@
     result.counts.resets += client->counts().resets;
   }
   result.faults = m_fault_count;
+  result.start_times = m_start_times;
   result.violations = m_violations.details();
   return result;
 }
@@ -81,35 +74,20 @@
       {*model::ParseIpv4Endpoint("198.18.0.1:8443"), "tally", std::nullopt},
       {*model::ParseIpv4Endpoint("198.18.0.2:8443"), "archive", std::nullopt}};
   WriteConfiguration();
-  for (const char* domain : kDomains) {
-    for (const char* service : {"tally", "tally", "archive"}) {
-      AddUpstream(service, domain, {});
-    }
-  }
-}
-
-void Scenario::SetUpHosts() {
-  int number = 1;
-  for (const char* domain : kDomains) {
-    for (int i = 0; i < m_options.hosts_per_domain; ++i, ++number) {
-      EntryProcessOptions options;
-      options.program = m_options.program;
-      options.directory = m_options.directory;
-      options.name = fmt::format("front-{}-{}", domain, i + 1);
-      options.failure_domain = domain;
-      options.address = Address(1, number);
-      options.packet_port = kPacketPort;
-      options.store = {boost::asio::ip::make_address(Address(4, 2)),
-                       static_cast<uint16_t>(18'000 + number)};
-      options.seeds = fmt::format("{}:18166,{}:18166,{}:18166", Address(1, 1),
-                                  Address(1, 2), Address(1, 4));
-      Host host;
-      host.store_proxy = std::make_unique<TcpProxy>(&m_context, options.store,
-                                                    m_store->endpoint());
-      host.process = std::make_unique<EntryProcess>(std::move(options));
-      host.process->Start();
-      m_hosts.push_back(std::move(host));
+  const size_t domains = m_domains.size();
+  const auto add = [&](const char* service, size_t total, size_t domain) {
+    const size_t count = total / domains + (domain < total % domains ? 1 : 0);
+    for (size_t i = 0; i < count; ++i) {
+      AddUpstream(service, m_domains[domain], {});
     }
+  };
+  const size_t tally_upstreams =
+      m_options.tally_upstreams > 0 ? m_options.tally_upstreams : 2 * domains;
+  const size_t archive_upstreams =
+      m_options.archive_upstreams > 0 ? m_options.archive_upstreams : domains;
+  for (size_t domain = 0; domain < domains; ++domain) {
+    add("tally", tally_upstreams, domain);
+    add("archive", archive_upstreams, domain);
   }
 }
 
@@ -137,7 +115,7 @@
     m_clients.push_back(std::make_unique<Client>(&m_context, Address(2, i),
                                                  kPacketPort, m_random(), hooks,
                                                  &m_violations));
-    m_clients.back()->Start(kFlowsPerClient);
+    m_clients.back()->Start(m_options.flows_per_client);
   }
 }
 
@@ -196,7 +174,7 @@
 }
 
 void Scenario::WriteEvacuations() {
-  for (const char* domain : kDomains) {
+  for (const std::string& domain : m_domains) {
     if (m_evacuations.contains(domain)) {
       m_store->Put("evacuations", domain, json::object());
     } else {
@@ -220,101 +198,6 @@
   m_context.run_for(time);
 }
 
-void Scenario::WaitUntilServing() {
-  const auto deadline = Clock::now() + kRecoveryTime;
-  const auto is_ready_host = [](const Host& host) {
-    return host.is_in_rotation;
-  };
-  while (!std::all_of(m_hosts.begin(), m_hosts.end(), is_ready_host)) {
-    if (Clock::now() > deadline) {
-      m_violations.Report(Invariant::kRecovery,
-                          "a host did not become ready in time");
-      return;
-    }
-    RunFor(milliseconds(50));
-  }
-}
-
-void Scenario::PollHosts() {
-  for (Host& host : m_hosts) {
-    Supervise(&host);
-    PollReadiness(&host);
-  }
-  RunAfter(kReadinessInterval, [this]() { PollHosts(); });
-}
-
-void Scenario::PollReadiness(Host* host) {
-  struct ReadinessProbe {
-    explicit ReadinessProbe(boost::asio::io_context* context)
-        : socket(*context), timer(*context) {}
-    boost::asio::ip::tcp::socket socket;
-    boost::asio::steady_timer timer;
-    std::array<char, 64> response{};
-    std::string request = standins::kReadinessRequest;
-    bool is_ready = false;
-  };
-  auto probe = std::make_shared<ReadinessProbe>(&m_context);
-  const model::Endpoint target = host->process->readiness();
-  probe->socket.async_connect(
-      {target.address, target.port},
-      [probe](const boost::system::error_code& error) {
-        if (error) {
-          return;
-        }
-        boost::asio::async_write(
-            probe->socket, boost::asio::buffer(probe->request),
-            [probe](const boost::system::error_code&, size_t) {
-              probe->socket.async_read_some(
-                  boost::asio::buffer(probe->response),
-                  [probe](const boost::system::error_code&, size_t size) {
-                    const std::string status_line(probe->response.data(), size);
-                    probe->is_ready = status_line.find(" 200 ") < 16;
-                  });
-            });
-      });
-  probe->timer.expires_after(kReadinessInterval / 2);
-  probe->timer.async_wait([host, probe](const boost::system::error_code&) {
-    boost::system::error_code ignored;
-    probe->socket.close(ignored);
-    host->failed_probes = probe->is_ready ? 0 : host->failed_probes + 1;
-    host->is_in_rotation =
-        probe->is_ready ||
-        (host->is_in_rotation && host->failed_probes < kMaxReadinessMisses);
-  });
-}
-
-void Scenario::Supervise(Host* host) {
-  EntryProcess& process = *host->process;
-  const uint64_t max_bytes =
-      IsDefectInjected(Invariant::kMemoryBounded) ? 1 : kMaxResidentBytes;
-  if (process.is_running() && process.ResidentBytes() > max_bytes) {
-    m_violations.Report(Invariant::kMemoryBounded, process.options().name);
-  }
-  if (process.stop_deadline && Clock::now() > *process.stop_deadline) {
-    m_violations.Report(
-        Invariant::kProcessLifecycle,
-        process.options().name + " did not exit in time after SIGTERM");
-    process.stop_deadline.reset();
-    process.is_kill_expected = true;
-    process.Signal(SIGKILL);
-  }
-  const auto status = process.Reap();
-  if (!status) {
-    return;
-  }
-  const bool exited_as_requested =
-      process.stop_deadline && WIFEXITED(*status) && WEXITSTATUS(*status) == 0;
-  if (!exited_as_requested && !process.is_kill_expected) {
-    m_violations.Report(Invariant::kProcessLifecycle,
-                        fmt::format("{} exited with wait status {}",
-                                    process.options().name, *status));
-  }
-  if (m_is_supervising) {
-    MarkDisturbed(host, milliseconds(0));
-    process.Start();
-  }
-}
-
 bool Scenario::InjectDefectiveChange() {
   // These defects are detected only on hosts that no other fault affects.
   if (IsDefectInjected(Invariant::kDrainHonored)) {
@@ -357,58 +240,6 @@
   return best;
 }
 
-void Scenario::CheckRecovery() {
-  for (Host& host : m_hosts) {
-    MarkDisturbed(&host, milliseconds(0));
-    host.process->is_kill_expected = true;
-    host.process->Signal(SIGKILL);
-    host.store_proxy->set_mode(ProxyMode::kPass);
-  }
-  m_store->set_mode(standins::StoreMode::kServe);
-  m_is_supervising = !IsDefectInjected(Invariant::kRecovery);
-  RunFor(kRecoveryTime);
-  const auto total = [this]() {
-    ClientCounts sum;
-    for (const auto& client : m_clients) {
-      sum.served += client->counts().served;
-      sum.failed += client->counts().failed;
-    }
-    return sum;
-  };
-  const ClientCounts before = total();
-  RunFor(milliseconds(2'000));
-  const ClientCounts after = total();
-  const auto served = static_cast<double>(after.served - before.served);
-  const auto failed = static_cast<double>(after.failed - before.failed);
-  if (served == 0 || served / (served + failed) < kMinRecoverySuccessRatio) {
-    m_violations.Report(
-        Invariant::kRecovery,
-        fmt::format("after the restart: {} requests served, {} failed", served,
-                    failed));
-  }
-}
-
-void Scenario::StopDaemons() {
-  for (const auto& client : m_clients) {
-    client->Stop();
-  }
-  m_is_supervising = false;
-  for (Host& host : m_hosts) {
-    host.process->is_kill_expected = false;
-    host.process->stop_deadline = Clock::now() + kStopGrace;
-    host.process->Signal(
-        IsDefectInjected(Invariant::kProcessLifecycle) ? SIGABRT : SIGTERM);
-  }
-  const auto has_exited = [](const Host& host) {
-    return !host.process->is_running();
-  };
-  const auto deadline = Clock::now() + kStopGrace + milliseconds(1'000);
-  while (!std::all_of(m_hosts.begin(), m_hosts.end(), has_exited) &&
-         Clock::now() < deadline) {
-    RunFor(milliseconds(100));
-  }
-}
-
 Scenario::Host* Scenario::RandomHost() {
   return &m_hosts[m_random() % m_hosts.size()];
 }
@@ -423,7 +254,7 @@
 }
 
 std::string Scenario::RandomDomain() {
-  return kDomains[m_random() % kDomains.size()];
+  return m_domains[m_random() % m_domains.size()];
 }
 
 milliseconds Scenario::RandomDuration(int min_ms, int max_ms) {
--- a/soak/scenario.h
+++ b/soak/scenario.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -15,6 +16,7 @@
 
 #include "soak/client.h"
 #include "soak/entry_process.h"
+#include "soak/processor_share.h"
 #include "soak/tcp_proxy.h"
 #include "soak/upstream.h"
 #include "soak/violations.h"
@@ -29,6 +31,9 @@
 inline constexpr std::chrono::milliseconds kConfigurationBound{3'000};
 inline constexpr std::chrono::milliseconds kBoundTolerance{200};
 inline constexpr std::chrono::milliseconds kStopGrace{6'000};
+inline constexpr std::chrono::milliseconds kRecoveryTime{12'000};
+// UDP port of the daemons and clients.
+inline constexpr uint16_t kPacketPort = 18'172;
 
 struct ScenarioOptions {
   std::string program;
@@ -37,7 +42,14 @@
   // Second octet of all loopback addresses; runs with different values can
   // execute at the same time.
   int network = 10;
-  int hosts_per_domain = 2;
+  // Number of hosts in each failure domain.
+  std::vector<int> hosts_in_domains = {2, 2, 2};
+  // Upstreams of the two services; 0 for 2 and 1 in each failure domain.
+  int tally_upstreams = 0;
+  int archive_upstreams = 0;
+  int flows_per_client = 12;
+  // Share of a core that each daemon gets; 0 for no limit.
+  double processor_share = 0;
   std::chrono::milliseconds fault_time{12'000};
   // Only planned work, under which a host is not excused for its own restart.
   bool is_planned_only = false;
@@ -49,6 +61,8 @@
 struct ScenarioResult {
   ClientCounts counts;
   uint64_t faults = 0;
+  // How long each start took until the readiness check passed.
+  std::vector<std::chrono::milliseconds> start_times;
   std::map<std::string, std::vector<std::string>> violations;
 };
 
@@ -107,6 +121,12 @@
   void WaitUntilServing();
   void PollHosts();
   void PollReadiness(Host* host);
+  // Calls `done` with whether the host answers that it is ready.
+  void ProbeReadiness(const Host& host,
+                      std::chrono::milliseconds timeout,
+                      std::function<void(bool)> done);
+  // Probes the host until it is ready or starts again.
+  void MeasureStart(Host* host);
   void Supervise(Host* host);
   void InjectFaults();
   // Restarts hosts and changes what is configured.
@@ -164,7 +184,10 @@
   Violations m_violations;
   ExecutionCounter m_executions;
   std::unique_ptr<standins::FakePlatformStore> m_store;
+  std::vector<std::string> m_domains;
   std::vector<Host> m_hosts;
+  std::optional<ProcessorShare> m_processor_share;
+  std::vector<std::chrono::milliseconds> m_start_times;
   std::vector<std::unique_ptr<Upstream>> m_upstreams;
   std::vector<std::unique_ptr<Client>> m_clients;
   std::vector<Listener> m_listeners;
--- a/soak/scenario_faults.cc
+++ b/soak/scenario_faults.cc
@@ -45,8 +45,8 @@
   Host* host = RandomHost();
   const milliseconds time = RandomDuration(200, 2'500);
   MarkDisturbed(host, time);
-  host->process->Signal(SIGSTOP);
-  RunAfter(time, [host]() { host->process->Signal(SIGCONT); });
+  host->process->Hold(HoldReason::kFault);
+  RunAfter(time, [host]() { host->process->Release(HoldReason::kFault); });
 }
 
 void Scenario::RestartHost() {
