The soak's client no longer sends an answered request again as a new one

A timer that has expired can't be cancelled. If the response was handled between the end of the retransmission timer and its handler, the handler sent the old request with the sequence number after it, which is a new request to the upstream. The handler now checks that its timer is the latest.

--- a/soak/client.cc
+++ b/soak/client.cc
@@ -109,7 +109,7 @@
     Send(flow, fin);
   }
   m_counts.failed += is_served ? 0 : 1;
-  flow->timer.cancel();
+  StopFlowTimer(flow);
   m_flows.erase(flow->id.first.port);
   auto pause =
       std::make_shared<boost::asio::steady_timer>(*m_context, kReopenDelay);
@@ -211,16 +211,23 @@
       ignored);
 }
 
+void Client::StopFlowTimer(const FlowPointer& flow) {
+  ++flow->timer_number;
+  flow->timer.cancel();
+}
+
 void Client::StartFlowTimer(const FlowPointer& flow,
                             milliseconds pause,
                             std::function<void()> next) {
   flow->timer.expires_after(pause);
-  flow->timer.async_wait(
-      [next = std::move(next)](const boost::system::error_code& error) {
-        if (!error) {
-          next();
-        }
-      });
+  const uint64_t number = ++flow->timer_number;
+  flow->timer.async_wait([flow, number, next = std::move(next)](
+                             const boost::system::error_code& error) {
+    // A timer that has expired can no longer be cancelled.
+    if (!error && flow->timer_number == number) {
+      next();
+    }
+  });
 }
 
 }  // namespace poplarsail::soak
--- a/soak/client.h
+++ b/soak/client.h
@@ -72,6 +72,8 @@
     std::chrono::milliseconds retransmit_timeout{0};
     model::Endpoint last_daemon;
     boost::asio::steady_timer timer;
+    // Number of the latest start of the timer.
+    uint64_t timer_number = 0;
   };
   using FlowPointer = std::shared_ptr<Flow>;
 
@@ -84,6 +86,7 @@
   void HandlePacket(const Packet& packet);
   void HandleResponse(const FlowPointer& flow, const Packet& packet);
   void Send(const FlowPointer& flow, Packet packet);
+  static void StopFlowTimer(const FlowPointer& flow);
   void StartFlowTimer(const FlowPointer& flow,
                       std::chrono::milliseconds pause,
                       std::function<void()> next);
