--- a/soak/entry_process.h
+++ b/soak/entry_process.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,9 @@
   std::optional<std::string> settings_text;
 };
 
+// Why a process is stopped for a while.
+enum class HoldReason : uint8_t { kFault, kAllotment };
+
 // A daemon that runs as a child process.
 class EntryProcess {
  public:
@@ -62,6 +66,9 @@
 
   void Start();
   void Signal(int signal);
+  // Stop the process with SIGSTOP until no reason is left.
+  void Hold(HoldReason reason);
+  void Release(HoldReason reason);
   // Options of the next start.
   EntryProcessOptions& next_options() { return m_options; }
   // Returns the wait status if the process has exited.
@@ -70,8 +77,13 @@
   // 0 if it is not running.
   pid_t pid() const { return m_pid; }
   uint64_t ResidentBytes() const;
+  Clock::time_point started_at() const { return m_started_at; }
   // Processor time that the process has used.
-  std::chrono::milliseconds ProcessorTime() const;
+  std::chrono::nanoseconds PreciseProcessorTime() const;
+  std::chrono::milliseconds ProcessorTime() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        PreciseProcessorTime());
+  }
 
   const EntryProcessOptions& options() const { return m_options; }
   model::Endpoint readiness() const;
@@ -88,6 +100,8 @@
 
   EntryProcessOptions m_options;
   pid_t m_pid = 0;
+  Clock::time_point m_started_at;
+  std::set<HoldReason> m_holds;
 };
 
 }  // namespace poplarsail::soak
