--- a/src/libs/entry/http_server.h
+++ b/src/libs/entry/http_server.h
@@ -32,7 +32,7 @@
 // them to the store, the checks of upstreams and the queries to other hosts.
 inline constexpr size_t kDescriptorsPerConnection = 8;
 inline constexpr size_t kMinConnections = 4;
-inline constexpr size_t kMaxConnections = 128;
+inline constexpr size_t kMaxConnections = 512;
 // After a connection could not be accepted the server pauses for this long.
 inline constexpr std::chrono::milliseconds kAcceptPause{100};
 
--- a/tests/auto/entry/tst_entry_daemon.cc
+++ b/tests/auto/entry/tst_entry_daemon.cc
@@ -108,7 +108,7 @@
     platform.codec = std::make_unique<FailingCodec>(&decoded);
     platform.store = std::make_unique<SilentStore>(&context);
     platform.readiness_path = "/ready";
-    daemon = std::make_unique<EntryDaemon>(&context, path, settings,
+    daemon = std::make_unique<EntryDaemon>(&context, path, "[host]\n", settings,
                                            std::move(platform));
     client.open(asio::ip::udp::v4());
   }
