Revisions above the store's and arrays behind the objects don't spoil lists

Behind a damaged entry of a response, a text of another writer could stand for an object with a revision that the store never had, which no later change replaces. And a member with an array behind the objects made every list unusable, since the last bracket was taken for the objects' end.

--- a/tests/auto/platform/tst_damaged_entries.cc
+++ b/tests/auto/platform/tst_damaged_entries.cc
@@ -245,6 +245,28 @@
   CHECK_FALSE(ReadListPage(text).objects.at(0).is_damaged);
 }
 
+// Guards against a record that no later change replaces, and against names that
+// are never forgotten.
+TEST_CASE("A revision that the store does not have is not read from damage") {
+  const std::string spec =
+      R"({"x":"},{"meta":{"name":"i-9","revision":1000000},"spec":{"y":1})";
+  const std::string text = R"({"items":[)" + Item("i-1", "1") + "," +
+                           Item("i-2", spec) + "," + Item("i-3", "3") +
+                           R"(],"has_more":false,"at":9})";
+  CHECK(NamesOf(ReadListPage(text)) ==
+        std::vector<std::string>{"i-1", "i-2", "i-3"});
+}
+
+TEST_CASE("A member with an array behind the objects is no obstacle") {
+  const std::string text = R"({"items":[)" + Item("i-1", "[1]") + "," +
+                           Item("i-2", "2") +
+                           R"(],"has_more":true,"at":9,"notes":["a"]})";
+  const ObjectPage page = ReadListPage(text);
+  CHECK(NamesOf(page) == std::vector<std::string>{"i-1", "i-2"});
+  CHECK(page.revision == 9);
+  CHECK(page.has_more);
+}
+
 // Guards against a time that grows with the square of an entry's size.
 TEST_CASE("A page is given up after too many false starts") {
   std::string spec = "{";
