A log pipe that nobody reads no longer stops the start

With a full pipe and a held address the start hung, and SIGTERM was lost. The start now writes its lines through a bounded sink.

--- a/src/libs/entry/daemon_start.cc
+++ b/src/libs/entry/daemon_start.cc
@@ -1,6 +1,10 @@
 #include "entry/daemon_start.h"
 
+#include <unistd.h>
+
+#include <initializer_list>
 #include <optional>
+#include <string_view>
 #include <system_error>
 #include <utility>
 
@@ -31,14 +35,18 @@
         m_settings_path(std::move(settings_path)),
         m_make_platform(make_platform) {}
 
+  ~DaemonStart() { m_log.Flush(); }
+
+  DaemonStart(const DaemonStart&) = delete;
+  DaemonStart& operator=(const DaemonStart&) = delete;
+
   std::unique_ptr<EntryDaemon> Run() {
     std::unique_ptr<EntryDaemon> daemon = TryToStart();
     while (!daemon && WaitUntil(Now() + kStartAttemptInterval)) {
       daemon = TryToStart();
     }
     if (m_wait && m_wait->IsStopRequested()) {
-      telemetry::Log(telemetry::LogLevel::kInfo, "daemon",
-                     "stopped before the start");
+      Log(telemetry::LogLevel::kInfo, "stopped before the start", {});
       return nullptr;
     }
     return daemon;
@@ -89,9 +97,8 @@
           throw;
         }
         if (std::exchange(is_first_attempt, false)) {
-          telemetry::Log(telemetry::LogLevel::kWarning, "daemon",
-                         "waiting for valid settings",
-                         {{"reason", error.what()}});
+          Log(telemetry::LogLevel::kWarning, "waiting for valid settings",
+              {{"reason", error.what()}});
         }
       }
       if (!WaitUntil(Now() + kSettingsAttemptInterval)) {
@@ -113,11 +120,22 @@
       return;
     }
     m_next_log = Now() + kStartLogInterval;
-    telemetry::Log(telemetry::LogLevel::kWarning, "daemon",
-                   "waiting for an address", {{"reason", reason}});
+    Log(telemetry::LogLevel::kWarning, "waiting for an address",
+        {{"reason", reason}});
+  }
+
+  // Never waits for the reader of the log.
+  void Log(telemetry::LogLevel level,
+           std::string_view message,
+           std::initializer_list<telemetry::LogField> fields) {
+    m_log.Write(
+        telemetry::FormatTimestampedLogLine(level, "daemon", message, fields));
+    m_log.Flush();
   }
 
   boost::asio::io_context* m_context;
+  // The daemon's own log exists once it is bound to its addresses.
+  telemetry::BoundedLogSink m_log{STDOUT_FILENO};
   std::string m_settings_path;
   const PlatformFactory* m_make_platform;
   std::optional<StartWait> m_wait;
--- a/tests/auto/process/tst_start.cc
+++ b/tests/auto/process/tst_start.cc
@@ -252,6 +252,37 @@
   CHECK(WaitUntilReady(daemon(), 5s));
 }
 
+TEST_CASE_METHOD(StartFixture,
+                 "A log pipe that nobody reads stops neither the start nor "
+                 "SIGTERM") {
+  const bool is_stopped = GENERATE(false, true);
+  std::array<int, 2> pipe_ends{};
+  REQUIRE(::pipe2(pipe_ends.data(), O_CLOEXEC) == 0);
+  // A line of the log doesn't fit any more.
+  const int free_bytes = GENERATE(0, 250);
+  const std::string text(
+      static_cast<size_t>(::fcntl(pipe_ends[1], F_GETPIPE_SZ) - free_bytes),
+      'x');
+  REQUIRE(::write(pipe_ends[1], text.data(), text.size()) ==
+          static_cast<ssize_t>(text.size()));
+  asio::io_context context;
+  std::optional<asio::ip::udp::socket> holder;
+  holder.emplace(context, asio::ip::udp::endpoint(Address("1.1"), kPacketPort));
+  daemon().next_options().environment.output = pipe_ends[1];
+  daemon().Start();
+  // Longer than the interval of the lines.
+  REQUIRE(RunAndDescribe(daemon(), 5'500ms) == "running");
+  if (is_stopped) {
+    daemon().Signal(SIGTERM);
+    CHECK(RunAndDescribe(daemon(), 1s) == "exit 0");
+  } else {
+    holder.reset();
+    CHECK(WaitUntilReady(daemon(), 5s));
+  }
+  ::close(pipe_ends[0]);
+  ::close(pipe_ends[1]);
+}
+
 TEST_CASE_METHOD(StartFixture,
                  "A daemon waits for an address that doesn't exist, and takes "
                  "over another one from its settings") {
