--- a/src/libs/daemon_process/daemon_process.cc
+++ b/src/libs/daemon_process/daemon_process.cc
@@ -11,10 +11,13 @@
 
 namespace {
 
-// Reports failed writes by their error code only.
-void IgnoreWriteSignals() {
-  std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGXFSZ, SIG_IGN);
+// Failed writes are reported by their error code only. The other signals have
+// no meaning for a daemon; by default each ends the process.
+void IgnoreSignals() {
+  for (const int signal : {SIGPIPE, SIGXFSZ, SIGXCPU, SIGUSR1, SIGUSR2, SIGALRM,
+                           SIGVTALRM, SIGPROF, SIGIO}) {
+    std::signal(signal, SIG_IGN);
+  }
 }
 
 // Otherwise the first sockets would get these descriptors, and log lines with
@@ -57,7 +60,7 @@
 void Prepare() {
   SetStartSignals();
   OpenStandardStreams();
-  IgnoreWriteSignals();
+  IgnoreSignals();
 }
 
 void UnblockSignals() {
--- a/tests/auto/process/tst_surroundings.cc
+++ b/tests/auto/process/tst_surroundings.cc
@@ -209,6 +209,19 @@
   CHECK(RunAndDescribe(daemon(), kStopTime) == "exit 0");
 }
 
+TEST_CASE_METHOD(SurroundingsFixture,
+                 "Signals that mean nothing to a daemon don't end it") {
+  daemon().Start();
+  REQUIRE(WaitUntilReady(daemon()));
+  for (const int signal : {SIGUSR1, SIGUSR2, SIGXCPU, SIGALRM, SIGVTALRM,
+                           SIGPROF, SIGIO, SIGPIPE, SIGXFSZ}) {
+    CAPTURE(signal);
+    daemon().Signal(signal);
+    REQUIRE(RunAndDescribe(daemon(), 50ms) == "running");
+  }
+  CHECK(IsReady(daemon()));
+}
+
 TEST_CASE_METHOD(SurroundingsFixture,
                  "Repeated signals don't kill a daemon that is ending") {
   daemon().Start();
