A stop that throws doesn't lose later signals

By reading, found by the review: Stop() ran outside of the guard, so that an exception would have kept the signals from being waited for again.

--- a/src/libs/entry/entry_daemon.cc
+++ b/src/libs/entry/entry_daemon.cc
@@ -115,9 +115,8 @@
   PacketLoop packets;
   HttpServer readiness;
   HttpServer metrics;
-  // Shared by all store watchers.
+  // Both are shared by all store watchers.
   RetryGate retry_gate;
-  // Shared by all store watchers.
   VersionFloor version_floor;
   StateCurrency currency;
   PeerSocket peer_socket;
@@ -166,8 +165,7 @@
   StartTimers();
   StartSignals();
   daemon_process::UnblockSignals();
-  // Handlers that arm themselves again guard what they do; this is for the
-  // rest.
+  // Handlers that arm themselves again guard what they do, unlike others.
   while (!m_context->stopped()) {
     RunGuarded("daemon", [this]() { m_context->run(); });
   }
@@ -235,12 +233,12 @@
   sources.scheduling = &scheduling;
   sources.handler_errors = HandlerErrorCount();
   sources.log = &m_components->log.counts();
-  const auto now = std::chrono::steady_clock::now();
   for (const auto& watcher : m_components->store_watchers) {
+    const auto age =
+        std::chrono::steady_clock::now() - watcher->last_response();
     sources.store_response_ages.emplace_back(
         watcher->kind_label(),
-        std::chrono::duration_cast<cluster_state::milliseconds>(
-            now - watcher->last_response()));
+        std::chrono::duration_cast<cluster_state::milliseconds>(age));
   }
   return FormatMetrics(sources);
 }
@@ -260,8 +258,8 @@
 }
 
 bool EntryDaemon::IsStoreUnreachable() const {
-  return std::any_of(
-      m_components->store_watchers.begin(), m_components->store_watchers.end(),
+  return std::ranges::any_of(
+      m_components->store_watchers,
       [](const auto& watcher) { return watcher->is_store_unreachable(); });
 }
 
@@ -285,7 +283,7 @@
         if (signal == SIGHUP) {
           RunGuarded("daemon", [this]() { Reload(); });
         } else if (!m_is_stopping) {
-          Stop();
+          RunGuarded("daemon", [this]() { Stop(); });
         }
         StartSignals();
       });
@@ -380,16 +378,15 @@
 }
 
 void EntryDaemon::LogReadiness() {
-  const bool is_ready = m_components->cluster_state.IsComplete();
+  const cluster_state::ClusterState& state = m_components->cluster_state;
+  const bool is_ready = state.IsComplete();
   if (std::exchange(m_was_ready, is_ready) == is_ready) {
     return;
   }
   telemetry::Log(
       telemetry::LogLevel::kInfo, "daemon", is_ready ? "ready" : "not ready",
-      {{"configuration",
-        std::to_string(m_components->cluster_state.configuration()->version)},
-       {"upstreams",
-        std::to_string(m_components->cluster_state.upstreams().size())}});
+      {{"configuration", std::to_string(state.configuration()->version)},
+       {"upstreams", std::to_string(state.upstreams().size())}});
 }
 
 void EntryDaemon::OnTick() {
