--- a/review/7/run.sh
+++ /dev/null
@@ -1,8 +0,0 @@
-#!/usr/bin/env bash
-# An entry of another writer has the hex digits of a live target's id.
-# Needs the build of the deploy file and review/build-2.sh. Exit code 1: the rule
-# was broken; 0: it held; 2: the case could not run. TROUBLE=0 leaves the
-# disruption out. It takes about 22 s.
-cd "$(dirname "$0")/../.." || exit 2
-[ -x build/review-2/drill ] && [ -x target/bin/poplarsail ] || exit 2
-exec build/review-2/drill alien-digits review/7/record.txt
