--- a/review/standin-2/drill.cc
+++ b/review/standin-2/drill.cc
@@ -262,6 +262,41 @@
     return m_revision;
   }
   void Open() { m_is_open = true; }
+  // A write that changes nothing gets no revision.
+  void WriteIfChanged(const std::string& kind,
+                      const std::string& name,
+                      const std::string& spec) {
+    const auto last = std::find_if(
+        m_changes.rbegin(), m_changes.rend(),
+        [&](const Change& c) { return c.kind == kind && c.name == name; });
+    if (!m_is_away &&
+        (last == m_changes.rend() || last->deleted || last->spec != spec)) {
+      Write(kind, name, spec);
+    }
+  }
+  // No call is answered and all connections end.
+  void GoAway() {
+    m_is_away = true;
+    const auto sessions = m_sessions;
+    for (const auto& [fd, session] : sessions) {
+      Close(session);
+    }
+    Record("store is away");
+  }
+  void ComeBack() {
+    m_is_away = false;
+    Record("store is back, era %lu, revision %lu", m_era, m_revision);
+  }
+  // What was written since `copy_at` is lost.
+  void ComeBackFromCopy(int64_t copy_at) {
+    while (m_changes.back().at > copy_at) {
+      m_changes.pop_back();
+    }
+    m_revision = m_changes.back().revision;
+    ++m_era;
+    Record("the copy is %ld ms old", static_cast<long>(Ms() - copy_at));
+    ComeBack();
+  }
 
  private:
   struct Session {
@@ -280,6 +315,10 @@
     if (fd < 0) {
       return;
     }
+    if (m_is_away) {
+      close(fd);
+      return;
+    }
     auto session = std::make_shared<Session>();
     session->fd = fd;
     m_sessions[fd] = session;
@@ -332,6 +371,10 @@
       Respond(s, 200, List(kind, stale));
       return;
     }
+    if (std::stoull(watch) > m_revision) {
+      Respond(s, 410, "{}");
+      return;
+    }
     s->waits = true;
     s->kind = kind;
     s->from = std::stoull(watch);
@@ -403,7 +446,8 @@
                const std::string& body) {
     const std::string text =
         "HTTP/1.1 " + std::to_string(status) +
-        " S\r\nContent-Type: application/json\r\nContent-Length: " +
+        " S\r\nStore-Era: " + std::to_string(m_era) +
+        "\r\nContent-Type: application/json\r\nContent-Length: " +
         std::to_string(body.size()) + "\r\n\r\n" + body;
     if (send(s->fd, text.data(), text.size(), MSG_NOSIGNAL) !=
         static_cast<ssize_t>(text.size())) {
@@ -424,6 +468,9 @@
   }
 
   bool m_is_open = false;
+  bool m_is_away = false;
+  // Rises when the store comes back from a copy.
+  uint64_t m_era = 1;
   uint64_t m_revision = 100;
   std::vector<Change> m_changes;
   std::map<int, std::shared_ptr<Session>> m_sessions;
@@ -451,7 +498,11 @@
   };
   std::vector<Opening> openings;
   std::set<FlowKey> open;
+  // Flows that this target has reset.
+  std::set<FlowKey> resets;
   int work_ms = 15;
+  // End of the cold start.
+  int64_t cold_until = 0;
 
   Target(std::string digits,
          std::string service_name,
@@ -471,8 +522,9 @@
     return "{\"service\":\"" + service + "\",\"address\":\"" + Text(address) +
            ":" + std::to_string(kTargetPort) + "\",\"zone\":\"" + zone +
            "\",\"version\":\"v1\",\"slots\":2,\"state\":\"" + state +
-           "\",\"cold_left_ms\":0,\"seq\":4,\"born\":" + std::to_string(born) +
-           "}";
+           "\",\"cold_left_ms\":" +
+           std::to_string(std::max<int64_t>(cold_until - Ms(), 0)) +
+           ",\"seq\":4,\"born\":" + std::to_string(born) + "}";
   }
 
   // The process ends: its ports are closed and its flows are gone.
@@ -492,9 +544,28 @@
     uint32_t own_seq = 0, next = 0, echo = 0;
     bool is_open = false;
     bool is_ended = false;
+    bool is_repeating = false;
+    Packet syn;
     std::string last_answer;
     uint32_t answer_seq = 0;
   };
+  // Missing packets are sent again after 200 ms, up to 1.6 s, 8 times.
+  void RepeatSynAck(const FlowKey& key, uint32_t seq, int delay, int count) {
+    g_loop.After(delay, [this, key, seq, delay, count]() {
+      const auto found = m_flows.find(key);
+      if (found == m_flows.end() || found->second.own_seq != seq ||
+          found->second.is_open) {
+        return;
+      }
+      if (count == 8) {
+        m_flows.erase(found);
+        return;
+      }
+      const Flow& flow = found->second;
+      Send(flow.syn, kSyn | kAck, flow.own_seq, flow.next, flow.echo, "");
+      RepeatSynAck(key, seq, std::min(delay * 2, 1600), count + 1);
+    });
+  }
   void AcceptCheck() {
     const int fd =
         accept4(m_tcp, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -562,7 +633,13 @@
       openings.push_back({g_last_syn[key], Ms()});
       Record("target %s takes the SYN of %s:%u to %s:%u", name.c_str(),
              Text(p.src).c_str(), p.sport, Text(p.dst).c_str(), p.dport);
+      const bool is_first = !flow.is_repeating;
+      flow.is_repeating = true;
+      flow.syn = p;
       Send(p, kSyn | kAck, flow.own_seq, flow.next, flow.echo, "");
+      if (is_first) {
+        RepeatSynAck(key, flow.own_seq, 200, 0);
+      }
       return;
     }
     const auto found = m_flows.find(key);
@@ -570,6 +647,7 @@
       if (!(p.flags & kRst)) {
         Record("target %s resets %s:%u, which it does not hold", name.c_str(),
                Text(p.src).c_str(), p.sport);
+        resets.insert(key);
         Send(p, kRst, p.ack, p.seq, p.echo, "");
       }
       return;
@@ -583,6 +661,14 @@
     }
     if (!flow.is_open) {
       if (p.ack != flow.own_seq + 1) {
+        // Acknowledges another target's SYN+ACK.
+        if (!(p.flags & kRst)) {
+          Record("target %s resets %s:%u, which it does not hold", name.c_str(),
+                 Text(p.src).c_str(), p.sport);
+          resets.insert(key);
+          Send(p, kRst, p.ack, p.seq, p.echo, "");
+        }
+        m_flows.erase(found);
         return;
       }
       flow.is_open = true;
@@ -633,6 +719,15 @@
   std::map<FlowKey, Flow> m_flows;
 };
 std::vector<std::unique_ptr<Target>> g_targets;
+// Returns the live target that holds the open flow, or nullptr.
+const Target* HolderOf(const FlowKey& key) {
+  for (const auto& t : g_targets) {
+    if (t->alive && t->open.contains(key)) {
+      return t.get();
+    }
+  }
+  return nullptr;
+}
 
 // ------------------------------------------------------------------ daemons
 struct Daemon {
@@ -750,6 +845,8 @@
   std::string zone;
   bool keep = true;
   int pause_ms = 500;
+  // Of a flow that isn't kept.
+  int requests_left = 1;
   enum { kOpening, kOpen, kDone } state = kOpening;
   uint32_t seq = 0, ack = 0, echo = 0;
   int64_t opened = 0, first_syn = 0;
@@ -763,7 +860,7 @@
   std::map<std::pair<uint32_t, uint16_t>, std::shared_ptr<ClientFlow>> flows;
   uint16_t next_port = 20000;
   int number = 0, requests = 0, answered = 0, refused = 0, failed_open = 0;
-  // Resets of the system's own on open flows.
+  // Resets of open flows that their living targets didn't send.
   struct Reset {
     int64_t at = 0;
     std::shared_ptr<ClientFlow> flow;
@@ -960,7 +1057,7 @@
     }
     Record("flow %d: %s answered by %s", flow->number, flow->request_id.c_str(),
            flow->target.c_str());
-    if (!flow->keep) {
+    if (!flow->keep && --flow->requests_left <= 0) {
       Send(*flow, kFin | kAck, flow->seq, flow->ack, "");
       End(flow);
       return;
@@ -982,12 +1079,18 @@
       Record("flow %d ignores a reset with seq far away", flow->number);
       return;
     }
-    Record("flow %d, open for %ld ms at target %s, is reset by %s",
+    const FlowKey key{flow->address, flow->route->address, flow->port,
+                      flow->route->port};
+    const Target* holder = HolderOf(key);
+    const bool is_broken =
+        holder != nullptr && (is_own || !holder->resets.contains(key));
+    Record("flow %d, open for %ld ms at target %s, is reset by %s%s",
            flow->number, static_cast<long>(Ms() - flow->opened),
-           flow->target.c_str(), is_own ? "the system" : "a target");
-    resets.push_back({Ms(), flow, p.seq});
-    if (!is_own) {
-      resets.pop_back();
+           holder == nullptr ? "(none)" : holder->name.c_str(),
+           is_own ? "the system" : "a target",
+           is_broken ? ", though its target lives and holds it" : "");
+    if (is_broken) {
+      resets.push_back({Ms(), flow, p.seq});
     }
     End(flow);
   }
@@ -1012,13 +1115,15 @@
          ",\"priority\":" + std::to_string(priority) + ",\"service\":\"" +
          service + "\",\"max_attempts\":2}";
 }
+double g_cold_per_s = 0;
 std::string ConfigJson(int version, const std::string& routes) {
   std::string services;
   for (const char* name : {"huvo11a", "wuno96b"}) {
     services +=
         std::string(services.empty() ? "" : ",") + "{\"name\":\"" + name +
         "\",\"health_path\":\"/health\",\"max_conns\":2000,\"protocol\":\"h1\","
-        "\"tls\":false,\"cold_start_s\":2.0,\"cold_per_s\":0.0}";
+        "\"tls\":false,\"cold_start_s\":10.0,\"cold_per_s\":" +
+        std::to_string(g_cold_per_s) + "}";
   }
   return "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes +
          "],\"services\":[" + services +
@@ -1078,20 +1183,19 @@
     }
   }
 }
-void FlowsOfOneRequest(const Route& route,
-                       int every_ms,
-                       int64_t until,
-                       uint32_t only_zone = 99) {
+void ShortFlows(const Route& route,
+                int every_ms,
+                int64_t until,
+                int requests = 1) {
   if (Ms() >= until) {
     return;
   }
   for (uint32_t z = 0; z < kZones.size(); ++z) {
-    if (only_zone == 99 || only_zone == z) {
-      g_consumers.Open(Addr(100 + z), kZones[z], route, false, 0);
-    }
+    g_consumers.Open(Addr(100 + z), kZones[z], route, false, 0)->requests_left =
+        requests;
   }
-  g_loop.After(every_ms, [&route, every_ms, until, only_zone]() {
-    FlowsOfOneRequest(route, every_ms, until, only_zone);
+  g_loop.After(every_ms, [&route, every_ms, until, requests]() {
+    ShortFlows(route, every_ms, until, requests);
   });
 }
 void StandardDeployment() {
@@ -1185,6 +1289,234 @@
                  "target didn't send");
 }
 
+// Planned work: the first daemons are stopped and started in turn.
+void RollTerm(size_t count) {
+  for (size_t i = 0; i < count; ++i) {
+    Daemon& d = g_daemons[i];
+    Record("daemon %s gets SIGTERM", d.name.c_str());
+    kill(d.pid, SIGTERM);
+    while (waitpid(d.pid, nullptr, WNOHANG) == 0) {
+      g_loop.RunUntil(Ms() + 50);
+    }
+    StartDaemon(d);
+    g_loop.RunUntil(Ms() + 1300);
+  }
+}
+
+// FLOW: each daemon freezes for less than 0.6 s and is stopped and started in
+// turn.
+int FreezeAndRoll() {
+  StandardDeployment();
+  for (uint32_t i = 0; i < 6; ++i) {
+    AddTarget("2f3a91c" + std::to_string(i), "huvo11a", kZones[i % 3], 50 + i);
+  }
+  for (const auto& t : g_targets) {
+    WriteState(*t, "ready");
+  }
+  g_store.Write(
+      "config", "main",
+      ConfigJson(7, RouteJson(g_routes[0], "huvo11a", "safe", 500, 120, 2)));
+  StartFleet(3);
+  int64_t open_until = Ms() + 100000;
+  const std::function<void()> open = [&]() {
+    if (Ms() >= open_until) {
+      return;
+    }
+    const auto z = static_cast<uint32_t>(g_random() % kZones.size());
+    const auto flow =
+        g_consumers.Open(Addr(100 + z), kZones[z], g_routes[0], false, 900);
+    flow->requests_left = 10;
+    g_loop.After(8, open);
+  };
+  open();
+  g_loop.RunUntil(Ms() + 4000);
+  for (Daemon& d : g_daemons) {
+    if (g_trouble) {
+      Record("daemon %s freezes", d.name.c_str());
+      kill(d.pid, SIGSTOP);
+      g_loop.RunUntil(Ms() + 450);
+      kill(d.pid, SIGCONT);
+      Record("daemon %s wakes", d.name.c_str());
+    }
+    g_loop.RunUntil(Ms() + 300);
+    Record("daemon %s gets SIGTERM", d.name.c_str());
+    kill(d.pid, SIGTERM);
+    while (waitpid(d.pid, nullptr, WNOHANG) == 0) {
+      g_loop.RunUntil(Ms() + 50);
+    }
+    StartDaemon(d);
+    g_loop.RunUntil(Ms() + 1300);
+  }
+  open_until = 0;
+  g_loop.RunUntil(Ms() + 10000);
+  Record("flows %d, reset though their target lives and holds them: %zu",
+         g_consumers.number, g_consumers.resets.size());
+  return BreakOn(!g_consumers.resets.empty(),
+                 "FLOW (a): a consumer gets a reset that the flow's living "
+                 "target didn't send");
+}
+
+// FLOW: a target is added whose id has the same tag as that of a live target
+// and is lower.
+int SameTag() {
+  StandardDeployment();
+  // XXH3_64bits() of both ids ends with the same 32 bits.
+  AddTarget("f29c238332", "huvo11a", "regina", 50);
+  AddTarget("7783a7fc10", "huvo11a", "regina", 51);
+  Target& older = *g_targets[g_targets.size() - 2];
+  Target& added = *g_targets.back();
+  for (const auto& t : g_targets) {
+    if (t.get() != &added) {
+      WriteState(*t, "ready");
+    }
+  }
+  g_store.Write(
+      "config", "main",
+      ConfigJson(7, RouteJson(g_routes[0], "huvo11a", "safe", 500, 120, 2)));
+  StartFleet(2);
+  LongFlows(60, g_routes[0], 400);
+  g_loop.RunUntil(Ms() + 6000);
+  Record("target %s holds %zu open flows", older.name.c_str(),
+         older.open.size());
+  if (g_trouble) {
+    added.born = UnixMs();
+    WriteState(added, "ready");
+  }
+  g_loop.RunUntil(Ms() + 5000);
+  RollTerm(3);
+  g_loop.RunUntil(Ms() + 3000);
+  Record("flows reset though their target lives and holds them: %zu",
+         g_consumers.resets.size());
+  return BreakOn(!g_consumers.resets.empty(),
+                 "FLOW (a): a consumer gets a reset that the flow's living "
+                 "target didn't send");
+}
+
+// FLOW: the store comes back from a copy soon after an outage in which the
+// registrations of the targets have lapsed.
+int RestoreAfterLapse() {
+  StandardDeployment();
+  for (const auto& t : g_targets) {
+    WriteState(*t, "ready");
+  }
+  g_store.Write(
+      "config", "main",
+      ConfigJson(7, RouteJson(g_routes[0], "huvo11a", "safe", 500, 120, 2)));
+  StartFleet(3);
+  LongFlows(40, g_routes[0], 4500);
+  g_loop.RunUntil(Ms() + 8000);
+  const int64_t copy_at = Ms();
+  g_store.GoAway();
+  g_loop.RunUntil(Ms() + 3000);
+  // They were silent for more than three status report intervals.
+  for (const auto& t : g_targets) {
+    g_store.Write("servers", t->name, t->Spec("ready"), true);
+  }
+  g_store.ComeBack();
+  const auto write_again = [](int64_t within_ms) {
+    for (const auto& t : g_targets) {
+      g_loop.After(
+          static_cast<int64_t>(g_random() % static_cast<uint64_t>(within_ms)),
+          [&t]() {
+            g_store.WriteIfChanged("servers", t->name, t->Spec("ready"));
+          });
+    }
+  };
+  // The registrations are back within about two seconds.
+  write_again(2000);
+  g_loop.RunUntil(Ms() + 600);
+  if (g_trouble) {
+    g_store.GoAway();
+    g_loop.RunUntil(Ms() + 400);
+    g_store.ComeBackFromCopy(copy_at);
+    write_again(770);
+  }
+  const int64_t back = Ms();
+  g_loop.RunUntil(Ms() + 13000);
+  int late = 0;
+  for (const Consumers::Reset& reset : g_consumers.resets) {
+    if (reset.at > back + kStableWindowMs) {
+      ++late;
+      Record("flow %d was reset %ld ms after the store's return",
+             reset.flow->number, static_cast<long>(reset.at - back));
+    }
+  }
+  Record(
+      "flows reset though their targets live and hold them: %zu, %d of them in "
+      "touch",
+      g_consumers.resets.size(), late);
+  return BreakOn(late > 0,
+                 "FLOW (a): a consumer gets a reset that the flow's living "
+                 "target didn't send");
+}
+
+// FAILBACK: targets start anew under traffic in a fleet of 18 daemons.
+int ColdStart() {
+  g_cold_per_s = 10;
+  g_routes = {{"r-a3hwrr6", 0xC6120001, 8443}};
+  AddTarget("1f3a91c2", "huvo11a", kZones[0], 40);
+  AddTarget("2a77b0d4", "huvo11a", kZones[1], 41);
+  AddTarget("3c1e8820", "huvo11a", kZones[2], 42);
+  for (const auto& t : g_targets) {
+    WriteState(*t, "ready");
+  }
+  g_store.Write(
+      "config", "main",
+      ConfigJson(7, RouteJson(g_routes[0], "huvo11a", "safe", 500, 120, 2)));
+  StartFleet(6);
+  // Each daemon has asked its peers several times.
+  g_loop.RunUntil(Ms() + 25000);
+  const int64_t end = Ms() + 14000;
+  ShortFlows(g_routes[0], 8, end - 1500, 2);
+  g_loop.RunUntil(Ms() + 2000);
+  const int64_t start = Ms();
+  const std::function<void()> beat = [&]() {
+    for (const auto& t : g_targets) {
+      WriteState(*t, "ready");
+    }
+    g_loop.After(770, beat);
+  };
+  if (g_trouble) {
+    for (const auto& t : g_targets) {
+      t->born = UnixMs();
+      t->cold_until = Ms() + 10000;
+    }
+    Record("the targets start anew");
+  }
+  beat();
+  g_loop.RunUntil(end);
+  const double limit = g_cold_per_s * 1.5 + 5;
+  size_t worst = 0;
+  for (const auto& t : g_targets) {
+    // Requests that were sent and arrived inside one second. The first 1.5 s
+    // are left out: the news of the cold start is on its way.
+    size_t most = 0;
+    int64_t when = 0;
+    for (const Target::Opening& first : t->openings) {
+      const int64_t begin = first.sent;
+      if (begin < start + 1500 || begin + 1000 > t->cold_until) {
+        continue;
+      }
+      const auto count = static_cast<size_t>(
+          std::ranges::count_if(t->openings, [begin](const Target::Opening& o) {
+            return o.sent >= begin && o.arrived < begin + 1000;
+          }));
+      if (count > most) {
+        most = count;
+        when = begin;
+      }
+    }
+    Record(
+        "target %s took at most %zu openings in one second (from %.3f), the "
+        "limit is %.0f",
+        t->name.c_str(), most, static_cast<double>(when) / 1000.0, limit);
+    worst = std::max(worst, most);
+  }
+  return BreakOn(
+      static_cast<double>(worst) > limit,
+      "FAILBACK: a cold target gets too many requests in one second");
+}
+
 // EVAC: the only target outside the evacuated zone crashes, and the store cuts
 // off watches that wait.
 int EvacuationWatchCut() {
@@ -1209,7 +1541,7 @@
   StartFleet();
   LongFlows(5, g_routes[0], 400);
   const int64_t end = Ms() + 22000;
-  FlowsOfOneRequest(g_routes[1], 25, end - 1500);
+  ShortFlows(g_routes[1], 25, end - 1500);
   g_loop.RunUntil(Ms() + 3000);
   g_store.Write("evacuations", "regina", "{}");
   const int64_t acked = Ms();
@@ -1250,7 +1582,7 @@
   }
   StartFleet();
   const int64_t end = Ms() + 18000;
-  FlowsOfOneRequest(g_routes[0], 25, end - 1500);
+  ShortFlows(g_routes[0], 25, end - 1500);
   g_loop.RunUntil(Ms() + 5000);
   Target& leaving = *g_targets[0];
   WriteState(leaving, "draining");
@@ -1299,6 +1631,10 @@
   const std::map<std::string, int (*)()> cases = {
       {"alien-entry", AlienEntry},
       {"alien-digits", AlienDigits},
+      {"freeze-and-roll", FreezeAndRoll},
+      {"same-tag", SameTag},
+      {"restore-after-lapse", RestoreAfterLapse},
+      {"cold-start", ColdStart},
       {"evacuation-watch-cut", EvacuationWatchCut},
       {"stale-watch", StaleWatch},
   };
